--- /dev/null
+++ b/Makefile
@@ -0,0 +1,27 @@
+BUILD ?= build
+SEEDS ?= 1000
+FROM ?= 1
+
+.PHONY: all check build packages demo soak format
+
+all: build
+
+packages:
+	support/install-packages
+
+build: packages
+	cmake -S . -B $(BUILD) -G Ninja
+	cmake --build $(BUILD)
+
+# Fixed seeds keep the verdict the same in every run.
+check: build
+	RC_PARAMS="seed=1" support/run-tests $(BUILD)
+
+demo: build
+	support/demo $(BUILD)
+
+soak: build
+	support/soak $(BUILD) $(SEEDS) $(FROM)
+
+format:
+	git ls-files -- '*.h' '*.cc' | xargs clang-format -i
--- /dev/null
+++ b/include/jasminelead/invariant.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <array>
+#include <atomic>
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+
+/// The promises of the design, checked where they could break.
+namespace jasminelead {
+
+enum class promise {
+    read_your_writes,
+    superseded_ack,
+    transaction_isolation,
+    answer_integrity,
+    not_run_truth,
+    at_most_once,
+    leaving_endpoint,
+    graceful_shutdown,
+    config_monotonic,
+    connection_limit,
+};
+
+inline constexpr std::size_t promise_count =
+    static_cast<std::size_t>(promise::connection_limit) + 1;
+
+std::string_view to_string(promise which);
+
+/// Counts broken promises of one daemon. A strict instance aborts the process at the first one.
+class invariants {
+public:
+    explicit invariants(bool strict = false) : m_strict{strict} {}
+
+    /// Returns `holds`, so that the caller refuses the operation when it does not.
+    bool check(promise which, bool holds);
+    [[nodiscard]] std::uint64_t broken(promise which) const;
+    [[nodiscard]] std::uint64_t broken_total() const;
+
+private:
+    bool m_strict;
+    std::array<std::atomic<std::uint64_t>, promise_count> m_broken{};
+};
+
+}  // namespace jasminelead
--- /dev/null
+++ b/support/endpoint_model.h
@@ -0,0 +1,112 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "jasminelead/messages.h"
+#include "jasminelead/types.h"
+
+/// A small model of a database endpoint: a log with terms, a key-value state, connections with an
+/// ownership epoch, and transactions. It has no I/O; time is an argument.
+namespace jasminelead::support {
+
+/// One committed statement or transaction.
+struct log_record {
+    term_number term = 0;
+    std::vector<std::string> statements;
+};
+
+struct run_result {
+    run_status status = run_status::ok;
+    std::string result;  ///< JSON text.
+    position_stamp stamp;
+};
+
+struct endpoint_limits {
+    std::uint32_t max_connections = 20;
+    std::uint32_t slots = 3;
+};
+
+class endpoint_model {
+public:
+    endpoint_model(endpoint_entry entry, endpoint_role role, endpoint_limits limits);
+
+    [[nodiscard]] const endpoint_entry& entry() const { return m_entry; }
+    [[nodiscard]] endpoint_state state(instant now) const;
+    [[nodiscard]] position_stamp stamp() const;
+    [[nodiscard]] std::span<const log_record> log() const { return m_log; }
+    [[nodiscard]] const endpoint_id& primary() const { return m_primary; }
+    [[nodiscard]] std::uint32_t most_connections() const { return m_most_connections; }
+    [[nodiscard]] std::size_t connections() const { return m_connections.size(); }
+
+    /// Opens a connection. `epoch` 0 stands for a client that holds no claim.
+    std::optional<endpoint_error> connect(connection_id connection, epoch_number epoch);
+    void disconnect(connection_id connection);
+    /// True while the connection is open; a newer claim closes those of older epochs.
+    [[nodiscard]] bool is_open(connection_id connection) const;
+
+    /// Runs one statement. Statements: `get K`, `set K V`, `add K N`, `append K V`.
+    run_result run(connection_id connection, request_kind kind, std::string_view text, bool read,
+                   term_number term);
+    control_result control(const control_request& request, instant now);
+
+    /// Copies at most `max_records` from the primary, after it cut what the two logs do not share.
+    /// Returns false when the source is not this replica's primary at this term.
+    bool replicate(const endpoint_model& source, instant now, std::size_t max_records);
+    /// The same for a source in another process.
+    bool append(term_number term, log_position from, std::span<const log_record> records,
+                const term_history& terms, instant now);
+    /// The longest position up to which two logs are the same.
+    [[nodiscard]] log_position common_prefix(const std::vector<term_start>& runs,
+                                             log_position size) const;
+    /// Terms of the log with the position before their first record.
+    [[nodiscard]] std::vector<term_start> log_runs() const;
+    [[nodiscard]] const term_history& terms() const { return m_terms; }
+
+    /// Closes all connections; term, role and log survive, as on disk.
+    void crash();
+
+private:
+    struct session {
+        epoch_number epoch = 0;
+        bool in_transaction = false;
+        std::vector<std::string> writes;
+    };
+
+    run_result run_single(std::string_view text, bool read, term_number term);
+    run_result run_in_transaction(session& open, request_kind kind, std::string_view text,
+                                  bool read, term_number term);
+    [[nodiscard]] run_result answer(run_status status, std::string result) const;
+    [[nodiscard]] bool accepts_writes(term_number term) const;
+    void commit(std::vector<std::string> statements);
+    void apply(std::string_view statement);
+    void truncate(log_position size);
+    bool accept(const claim_request& request);
+    bool accept(const release_request& request);
+    bool accept(const fence_request& request);
+    bool accept(const promote_request& request);
+    bool accept(const follow_request& request, instant now);
+    void close_older_connections();
+
+    endpoint_entry m_entry;
+    endpoint_limits m_limits;
+    endpoint_role m_role;
+    term_number m_term = 1;
+    std::string m_candidate;
+    endpoint_id m_primary;
+    instant m_primary_heard;
+    term_history m_terms;
+    std::vector<log_record> m_log;
+    std::unordered_map<std::string, std::string> m_data;
+    epoch_number m_epoch = 0;
+    host_id m_owner;
+    std::map<connection_id, session> m_connections;
+    std::uint32_t m_most_connections = 0;
+};
+
+}  // namespace jasminelead::support
--- /dev/null
+++ b/test/main.cc
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
