--- a/support/endpoint_model.cc
+++ b/support/endpoint_model.cc
@@ -62,9 +62,14 @@
 }
 
 position_stamp endpoint_model::stamp() const {
-    const term_number log_term = m_role == endpoint_role::primary ? m_term
-                                 : m_log.empty()                  ? 1
-                                                                  : m_log.back().term;
+    // A log that was cut to its primary's and has reached the start of the primary's term holds all
+    // that the term began with, also before the first record of that term arrives.
+    term_number log_term = 0;
+    for (const term_start& start : m_terms) {
+        if (start.position <= m_log.size()) {
+            log_term = std::max(log_term, start.term);
+        }
+    }
     return {m_term, log_term, m_log.size(), m_role};
 }
 
