--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 	RC_PARAMS="seed=1" support/run-tests $(BUILD)
 
 demo: build
-	support/demo $(BUILD)
+	$(BUILD)/jasminelead-demo
 
 soak: build
 	support/soak $(BUILD) $(SEEDS) $(FROM)
--- a/support/endpoint_model.cc
+++ b/support/endpoint_model.cc
@@ -324,14 +324,26 @@
     return position;
 }
 
-bool endpoint_model::replicate(const endpoint_model& source, instant now, std::size_t max_records) {
-    if (source.m_entry.id != m_primary || source.m_role != endpoint_role::primary) {
-        return false;
+std::optional<replication_batch> endpoint_model::records_for(const endpoint_model& replica,
+                                                             std::size_t max_records) const {
+    if (m_entry.id != replica.m_primary || m_role != endpoint_role::primary) {
+        return std::nullopt;
     }
-    const log_position from = source.common_prefix(log_runs(), m_log.size());
-    const std::size_t available = source.m_log.size() - from;
-    const auto records = std::span{source.m_log}.subspan(from, std::min(available, max_records));
-    return append(source.m_term, from, records, source.m_terms, now);
+    // Two logs with the same term at one position are the same up to it, so the walk over all
+    // records is needed only when the ends differ.
+    const std::size_t size = replica.m_log.size();
+    const bool same_end =
+        size <= m_log.size() && (size == 0 || m_log[size - 1].term == replica.m_log[size - 1].term);
+    const log_position from =
+        same_end ? size : common_prefix(replica.log_runs(), replica.m_log.size());
+    const auto missing = std::span{m_log}.subspan(from);
+    const auto records = missing.first(std::min(missing.size(), max_records));
+    return replication_batch{m_term, from, {records.begin(), records.end()}, m_terms};
+}
+
+bool endpoint_model::replicate(const endpoint_model& source, instant now, std::size_t max_records) {
+    const auto batch = source.records_for(*this, max_records);
+    return batch && append(batch->term, batch->from, batch->records, batch->terms, now);
 }
 
 bool endpoint_model::append(term_number term, log_position from,
--- a/support/endpoint_model.h
+++ b/support/endpoint_model.h
@@ -27,6 +27,14 @@
     position_stamp stamp;
 };
 
+/// What a replica gets from its primary at once.
+struct replication_batch {
+    term_number term = 0;
+    log_position from = 0;  ///< The replica's log is cut here first.
+    std::vector<log_record> records;
+    term_history terms;
+};
+
 struct endpoint_limits {
     std::uint32_t max_connections = 20;
     std::uint32_t slots = 3;
@@ -55,10 +63,12 @@
                    term_number term);
     control_result control(const control_request& request, instant now);
 
+    /// At most `max_records` that the replica misses; nothing when this is not its primary.
+    [[nodiscard]] std::optional<replication_batch> records_for(const endpoint_model& replica,
+                                                               std::size_t max_records) const;
     /// Copies at most `max_records` from the primary, after it cut what the two logs do not share.
     /// Returns false when the source is not this replica's primary at this term.
     bool replicate(const endpoint_model& source, instant now, std::size_t max_records);
-    /// The same for a source in another process.
     bool append(term_number term, log_position from, std::span<const log_record> records,
                 const term_history& terms, instant now);
     /// The longest position up to which two logs are the same.
--- a/support/endpoint_server.cc
+++ b/support/endpoint_server.cc
@@ -196,8 +196,8 @@
             request = {{"runs", runs_to_json(m_model.log_runs())}, {"size", m_model.log().size()}};
         }
         const auto answer = post_json(address, "/replicate", request, pull_timeout_ms);
-        if (answer && answer->at("primary").as_bool()) {
-            append(*answer);
+        if (answer && answer->status == http_status::ok && answer->body.at("primary").as_bool()) {
+            append(answer->body);
         }
     }
 
--- /dev/null
+++ b/support/fleet.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "process.h"
+
+/// A whole installation of real processes on loopback: platform, three groups of three endpoints
+/// in three data centres, and six daemons.
+namespace jasminelead::support {
+
+class fleet {
+public:
+    /// `programs` is the folder of the programs, `work` a folder for settings and logs.
+    fleet(std::string programs, std::string work);
+
+    /// Starts everything, imports the table and waits until all daemons are ready.
+    /// Throws std::runtime_error when a part does not come up within 20 s.
+    void start();
+    /// Runs the CLI against the platform and the first daemon; the exit code.
+    int ctl(const std::vector<std::string>& arguments) const;
+
+    [[nodiscard]] const std::vector<std::string>& daemons() const { return m_daemon_addresses; }
+    process& daemon(std::size_t index) { return m_daemons.at(index); }
+    process& endpoint(const std::string& name) { return m_endpoints.at(name); }
+    void restart_daemon(std::size_t index);
+    void restart_endpoint(const std::string& name);
+
+private:
+    void start_platform();
+    void start_endpoint(const std::string& name, const std::string& primary);
+    void start_daemon(std::size_t index);
+    void write_host_list() const;
+    void write_daemon_settings(std::size_t index) const;
+    void write_table() const;
+    void wait_ready() const;
+
+    std::string m_programs;
+    std::string m_work;
+    std::string m_platform_address;
+    std::map<std::string, std::string> m_endpoint_addresses;
+    std::vector<std::string> m_daemon_addresses;
+    std::vector<process> m_platform;
+    std::map<std::string, process> m_endpoints;
+    std::vector<process> m_daemons;
+};
+
+}  // namespace jasminelead::support
--- a/support/http_server.cc
+++ b/support/http_server.cc
@@ -74,31 +74,12 @@
     handlers.closed(connection);
 }
 
-}  // namespace
-
-void serve_http(std::string_view address, const http_handlers& handlers) {
-    asio::io_context context;
-    tcp::acceptor acceptor{context, parse_address(address)};
-    while (true) {
-        tcp::socket socket{context};
-        boost::system::error_code error;
-        acceptor.accept(socket, error);
-        if (!error) {
-            std::thread{serve_connection, std::move(socket), std::cref(handlers)}.detach();
-        }
-    }
-}
-
-std::optional<boost::json::value> post_json(std::string_view address, std::string_view target,
-                                            const boost::json::value& body,
-                                            std::int64_t timeout_ms) {
+std::optional<http_reply> call(std::string_view address,
+                               const http::request<http::string_body>& request,
+                               std::int64_t timeout_ms) {
     asio::io_context context;
     beast::tcp_stream stream{context};
     beast::flat_buffer buffer;
-    http::request<http::string_body> request{http::verb::post, std::string{target}, 11};
-    request.set(http::field::host, std::string{address});
-    request.body() = boost::json::serialize(body);
-    request.prepare_payload();
     http::response<http::string_body> response;
     bool complete = false;
     stream.expires_after(std::chrono::milliseconds{timeout_ms});
@@ -116,10 +97,42 @@
         });
     });
     context.run();
-    if (!complete || response.result() != http::status::ok) {
+    if (!complete) {
         return std::nullopt;
     }
-    return parse_body(response.body());
+    return http_reply{response.result(), parse_body(response.body())};
+}
+
+}  // namespace
+
+void serve_http(std::string_view address, const http_handlers& handlers) {
+    asio::io_context context;
+    tcp::acceptor acceptor{context, parse_address(address)};
+    while (true) {
+        tcp::socket socket{context};
+        boost::system::error_code error;
+        acceptor.accept(socket, error);
+        if (!error) {
+            std::thread{serve_connection, std::move(socket), std::cref(handlers)}.detach();
+        }
+    }
+}
+
+std::optional<http_reply> post_json(std::string_view address, std::string_view target,
+                                    const boost::json::value& body, std::int64_t timeout_ms) {
+    http::request<http::string_body> request{http::verb::post, std::string{target}, 11};
+    request.set(http::field::host, std::string{address});
+    request.set(http::field::content_type, "application/json");
+    request.body() = boost::json::serialize(body);
+    request.prepare_payload();
+    return call(address, request, timeout_ms);
+}
+
+std::optional<http_reply> get_json(std::string_view address, std::string_view target,
+                                   std::int64_t timeout_ms) {
+    http::request<http::string_body> request{http::verb::get, std::string{target}, 11};
+    request.set(http::field::host, std::string{address});
+    return call(address, request, timeout_ms);
 }
 
 }  // namespace jasminelead::support
--- a/support/http_server.h
+++ b/support/http_server.h
@@ -34,9 +34,11 @@
 /// Serves until the process ends. Throws boost::system::system_error when it cannot listen.
 [[noreturn]] void serve_http(std::string_view address, const http_handlers& handlers);
 
-/// Sends one POST on a new connection; nothing on any error or when `timeout_ms` passes.
-std::optional<boost::json::value> post_json(std::string_view address, std::string_view target,
-                                            const boost::json::value& body,
-                                            std::int64_t timeout_ms);
+/// Sends one POST on a new connection; nothing when no answer came within `timeout_ms`.
+std::optional<http_reply> post_json(std::string_view address, std::string_view target,
+                                    const boost::json::value& body, std::int64_t timeout_ms);
+/// The same for a GET.
+std::optional<http_reply> get_json(std::string_view address, std::string_view target,
+                                   std::int64_t timeout_ms);
 
 }  // namespace jasminelead::support
--- /dev/null
+++ b/support/workload.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "testbed.h"
+
+/// Callers of a testbed, and a checker that compares what they were told with what ran.
+namespace jasminelead::support {
+
+struct workload_settings {
+    std::size_t sessions = 30;
+    duration think = duration::from_ms(20);  ///< Mean pause between requests of a session.
+    duration timeout = duration::from_ms(5000);
+    double reads = 0.7;         ///< Share of requests that read.
+    double aged_reads = 0.5;    ///< Share of reads of another session's data, which accept an age.
+    double transactions = 0.1;  ///< Share of writes that are transactions of two statements.
+    double idempotent = 0.3;    ///< Share of single writes that are marked idempotent.
+};
+
+struct workload_report {
+    std::uint64_t requests = 0;
+    std::uint64_t done = 0;
+    std::uint64_t not_run = 0;
+    std::uint64_t unknown = 0;
+    std::uint64_t reads = 0;          ///< Reads that were done.
+    std::uint64_t replica_reads = 0;  ///< Of these, served by a replica.
+    std::uint64_t aged_reads = 0;
+    std::uint64_t aged_replica_reads = 0;
+    std::map<std::string, std::uint64_t> not_run_reasons;
+    std::map<std::string, std::uint64_t> broken;  ///< Broken promises seen from outside.
+};
+
+class workload {
+public:
+    workload(testbed& bed, workload_settings settings);
+    ~workload();
+    workload(const workload&) = delete;
+    workload& operator=(const workload&) = delete;
+
+    void start();
+    /// Sessions finish their present request and send no other.
+    void stop() { m_stopped = true; }
+    [[nodiscard]] bool idle() const { return m_in_flight == 0; }
+    /// Checks after the faults are healed and replication has caught up.
+    void check_final_state();
+    [[nodiscard]] const workload_report& report() const { return m_report; }
+    [[nodiscard]] std::uint64_t broken() const;
+
+private:
+    struct session;
+    struct write;
+
+    void next(session& caller);
+    void read_own(session& caller);
+    void read_other(session& caller);
+    void write_single(session& caller);
+    void write_transaction(session& caller);
+    void execute_next(session& caller, std::shared_ptr<write> transaction, std::size_t index);
+    void commit(session& caller, const std::shared_ptr<write>& transaction);
+    void finish_write(session& caller, const std::shared_ptr<write>& written,
+                      const std::optional<caller_reply>& reply);
+    void send(session& caller, caller_request request, testbed::reply_handler handler);
+    void check_value(const session& caller, const std::string& key, const std::string& value);
+    void check_log(const group_id& group);
+    void breaks(promise which) { ++m_report.broken[std::string{to_string(which)}]; }
+    [[nodiscard]] caller_request request(const session& caller, request_kind kind) const;
+    [[nodiscard]] host_id any_host();
+    [[nodiscard]] bool chance(double probability);
+
+    testbed& m_bed;
+    workload_settings m_settings;
+    std::vector<std::unique_ptr<session>> m_sessions;
+    std::vector<std::shared_ptr<write>> m_writes;
+    workload_report m_report;
+    std::size_t m_in_flight = 0;
+    bool m_stopped = false;
+};
+
+}  // namespace jasminelead::support
