Add admission, connection pool, endpoint claim and owner

The owner holds all connections of its endpoints under a claim. Admission is fair between services, the pool opens ahead of demand, and the claim waits for a holder that is live or leaving, so that a planned move drains first. core_context gets the set of leaving daemons for that.

--- /dev/null
+++ b/include/jasminelead/admission.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "jasminelead/reason.h"
+#include "jasminelead/types.h"
+
+/// The queue of one endpoint: fair between services, earliest deadline first within a service.
+namespace jasminelead {
+
+struct admission_request {
+    std::uint64_t number = 0;  ///< The caller's key for the entry, unique in the queue.
+    service_id service;
+    std::uint32_t share = 1;  ///< Weight of the service.
+    instant deadline;
+    bool holds_connection = false;  ///< A statement of an open transaction.
+};
+
+class admission {
+public:
+    static constexpr std::size_t capacity = 256;
+
+    struct verdict {
+        std::optional<reason> refused;
+        std::optional<std::uint64_t> evicted;  ///< Entry that made room for the new one.
+    };
+    struct dispatched {
+        std::uint64_t number = 0;
+        duration charged;  ///< Work charged to the service until the true time is known.
+    };
+    using service_predicate = std::function<bool(const service_id&)>;
+
+    verdict push(const admission_request& request, std::uint32_t slots, instant now);
+    /// Takes the next entry. Entries that hold no connection need `connection_idle` and a service
+    /// for which `below_share` is true.
+    std::optional<dispatched> pop(bool connection_idle, const service_predicate& below_share);
+    /// Replaces the charge of a statement by the time that it took.
+    void complete(const service_id& service, duration charged, duration taken);
+    /// Gives back the charge of an entry that was popped but not run.
+    void refund(const service_id& service, duration charged);
+    bool remove(const service_id& service, std::uint64_t number);
+    /// Takes the entries whose deadline is at or before `now`.
+    std::vector<std::uint64_t> take_expired(instant now);
+
+    [[nodiscard]] std::size_t size() const { return m_size; }
+    [[nodiscard]] std::optional<instant> next_deadline() const;
+    /// Mean time of a statement; zero before the first one finished.
+    [[nodiscard]] duration mean_time() const { return m_mean; }
+
+    /// Calls `visit(service, count)` for the services with entries that need a connection.
+    template <class Visitor>
+    void visit_waiting(Visitor visit) const {
+        for (const auto& [service, lane] : m_lanes) {
+            if (!lane.unbound.empty()) {
+                visit(service, lane.unbound.size());
+            }
+        }
+    }
+
+private:
+    struct entry {
+        instant deadline;
+        std::uint64_t number = 0;
+    };
+    using entries = std::vector<entry>;  // Latest deadline first: the next entry is at the back.
+    struct lane_state {
+        double share = 1;
+        double start = 0;  // Virtual time, in us of work divided by the share.
+        entries bound;     // Entries that hold a connection.
+        entries unbound;
+        [[nodiscard]] std::size_t size() const { return bound.size() + unbound.size(); }
+    };
+    using lane_map = std::map<service_id, lane_state>;
+
+    [[nodiscard]] duration expected_wait(const lane_state& lane, instant deadline,
+                                         std::uint32_t slots) const;
+    std::optional<std::uint64_t> evict_for(const lane_state& newcomer);
+    dispatched take(lane_state& lane, entries& from);
+
+    lane_map m_lanes;
+    std::size_t m_size = 0;
+    double m_virtual_time = 0;
+    duration m_mean;
+};
+
+}  // namespace jasminelead
--- /dev/null
+++ b/include/jasminelead/connection_pool.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "jasminelead/types.h"
+
+/// The connections of one endpoint. The owner sends the actions; the pool keeps the account.
+namespace jasminelead {
+
+struct pooled_connection {
+    enum class phase { opening, idle, in_use };
+    phase state = phase::opening;
+    service_id service;             ///< User of the connection; empty unless in use.
+    std::uint64_t transaction = 0;  ///< Transaction bound to the connection; 0 for none.
+    std::uint64_t call = 0;         ///< Call whose answer is outstanding; 0 for none.
+    std::uint64_t sequence = 0;     ///< Sequence number of the last statement.
+    instant idle_since;
+};
+
+class connection_pool {
+public:
+    /// Connections to open now, for `demand` calls that wait for one. Never above the limit.
+    [[nodiscard]] std::uint32_t missing(std::uint32_t demand, std::uint32_t limit,
+                                        instant now) const;
+    void add_opening(connection_id id);
+    /// False when the connection is unknown or was open already.
+    bool set_open(connection_id id, instant now);
+    /// The most recently used idle connection, in use by `service` from now on.
+    std::optional<connection_id> take(const service_id& service, instant now);
+    void put_back(connection_id id, instant now);
+    /// Removes a connection that was closed; returns what it was used for.
+    std::optional<pooled_connection> remove(connection_id id, instant now);
+    /// Removes and returns the idle connections above the limit, and those above the target that
+    /// were idle for 30 s.
+    std::vector<connection_id> take_surplus(std::uint32_t limit, instant now);
+    /// Removes and returns all connections.
+    std::vector<connection_id> take_all();
+
+    [[nodiscard]] pooled_connection* find(connection_id id);
+    /// Open and opening connections.
+    [[nodiscard]] std::uint32_t size() const;
+    [[nodiscard]] std::uint32_t opening() const { return m_opening; }
+    [[nodiscard]] std::uint32_t idle() const { return static_cast<std::uint32_t>(m_idle.size()); }
+    [[nodiscard]] std::uint32_t in_use() const { return m_in_use; }
+    [[nodiscard]] std::uint32_t in_use(const service_id& service) const;
+    /// Peak in use over the last 30 s, plus 1.
+    [[nodiscard]] std::uint32_t target(instant now) const;
+    /// When take_surplus may have something to close; nothing with a single connection.
+    [[nodiscard]] std::optional<instant> next_surplus(instant now) const;
+
+private:
+    struct peak_sample {
+        instant until;  // Last time at which the number of connections was in use.
+        std::uint32_t in_use = 0;
+    };
+    void change_in_use(const service_id& service, bool more, instant now);
+    void record_peak(instant now);
+
+    std::map<connection_id, pooled_connection> m_connections;
+    std::vector<connection_id> m_idle;  // Most recently used last.
+    std::map<service_id, std::uint32_t> m_service_use;
+    std::deque<peak_sample> m_peaks;  // Falling numbers, rising times.
+    std::uint32_t m_opening = 0;
+    std::uint32_t m_in_use = 0;
+};
+
+}  // namespace jasminelead
--- a/include/jasminelead/context.h
+++ b/include/jasminelead/context.h
@@ -2,6 +2,7 @@
 
 #include <memory>
 #include <random>
+#include <set>
 
 #include "jasminelead/directory.h"
 #include "jasminelead/invariant.h"
@@ -28,6 +29,8 @@
     data_centre_id data_centre;
     incarnation_number incarnation = 0;
     std::shared_ptr<const directory> fleet = std::make_shared<directory>();
+    /// Daemons that drain: they are no longer in `fleet`, but still release their claims.
+    std::set<host_id> leaving;
     std::shared_ptr<const table> config;  ///< Null until the first table arrives.
     invariants* checks = nullptr;
     std::mt19937_64 random;
--- /dev/null
+++ b/include/jasminelead/endpoint_claim.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+
+#include "jasminelead/context.h"
+#include "jasminelead/messages.h"
+
+/// The claim on one endpoint: taken, verified, lost and released by control calls.
+namespace jasminelead {
+
+class endpoint_claim {
+public:
+    enum class change { none, acquired, displaced, unreachable };
+
+    explicit endpoint_claim(endpoint_id endpoint) : m_endpoint{std::move(endpoint)} {}
+
+    /// Sends the control call that is due. `wanted`: this daemon shall hold the claim.
+    void advance(core_context& context, bool wanted, std::uint64_t& last_call, instant now,
+                 action_list& out);
+    /// Takes the answer to a call of this claim; others change nothing.
+    change on_answer(core_context& context, const control_answered& answered, instant now);
+    /// Another daemon holds the claim; the hold-down begins.
+    void displace(instant now);
+    /// Asks whether the claim is still held.
+    void verify() { m_verify = held(); }
+    /// Gives up the claim. All connections must be closed before.
+    void release(const core_context& context, instant now);
+
+    [[nodiscard]] bool held() const { return m_phase == phase::held; }
+    /// No claim is held, taken or released.
+    [[nodiscard]] bool inactive() const { return m_phase == phase::none && m_call == 0; }
+    [[nodiscard]] bool in_hold_down(instant now) const { return now < m_hold_down_until; }
+    [[nodiscard]] epoch_number epoch() const { return m_epoch; }
+    [[nodiscard]] std::optional<instant> next_wakeup(bool wanted) const;
+
+private:
+    enum class phase { none, claiming, held, releasing };
+
+    void send(control_request request, std::uint64_t& last_call, instant now, action_list& out);
+    void retry_later(core_context& context, instant now);
+    change on_result(core_context& context, const control_result& result, instant now);
+    change on_status(core_context& context, const endpoint_state& state, instant now);
+    [[nodiscard]] bool must_wait_for(const core_context& context, const host_id& holder,
+                                     instant now);
+    change acquire(epoch_number epoch, instant now);
+
+    endpoint_id m_endpoint;
+    phase m_phase = phase::none;
+    epoch_number m_epoch = 0;  // Held epoch, or the epoch read before the claim.
+    std::uint64_t m_call = 0;  // Outstanding call; 0 for none.
+    instant m_call_expires;
+    instant m_next_attempt;
+    duration m_backoff;
+    bool m_verify = false;
+    std::uint32_t m_release_attempts = 0;
+    std::uint32_t m_displacements = 0;
+    instant m_held_since;
+    instant m_hold_down_until;
+    host_id m_waiting_for;
+    instant m_wait_until;
+};
+
+}  // namespace jasminelead
--- /dev/null
+++ b/include/jasminelead/write_confirmation.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <cstdint>
+#include <vector>
+
+#include "jasminelead/messages.h"
+#include "jasminelead/types.h"
+
+namespace jasminelead {
+
+/// What the owner asks of the acknowledger: confirmation of a term by a majority of a group.
+class write_confirmation {
+public:
+    using ticket = std::uint64_t;
+    struct result {
+        ticket id = 0;
+        bool confirmed = false;
+    };
+
+    virtual ~write_confirmation() = default;
+
+    /// Every ticket gets one result, at the latest at its deadline.
+    virtual ticket submit(const group_id& group, const endpoint_id& primary,
+                          const position_stamp& executed, instant deadline, instant now,
+                          action_list& out) = 0;
+    virtual std::vector<result> take_results() = 0;
+    [[nodiscard]] virtual bool has_majority(const group_id& group, instant now) const = 0;
+};
+
+}  // namespace jasminelead
--- /dev/null
+++ b/src/admission.cc
@@ -0,0 +1,186 @@
+#include "jasminelead/admission.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace jasminelead {
+namespace {
+
+using namespace literals;
+
+/// Weight of the last statement in the mean time: the mean follows a change of load within about
+/// 16 statements, and one slow statement does not refuse a whole queue.
+constexpr std::int64_t mean_weight = 16;
+/// Charged for a statement before the mean is known.
+constexpr duration assumed_time = 1_ms;
+
+/// First entry whose deadline is not after the given one, in descending order of deadlines.
+/// Later arrivals of the same deadline are placed before earlier ones, so that they leave later.
+template <class Entries>
+auto place_of(Entries& list, instant deadline) {
+    return std::lower_bound(list.begin(), list.end(), deadline,
+                            [](const auto& item, instant key) { return item.deadline > key; });
+}
+
+template <class Entries>
+bool erase_number(Entries& list, std::uint64_t number) {
+    return std::erase_if(list, [number](const auto& item) { return item.number == number; }) > 0;
+}
+
+}  // namespace
+
+admission::verdict admission::push(const admission_request& request, std::uint32_t slots,
+                                   instant now) {
+    if (request.deadline <= now) {
+        return {reason::deadline, std::nullopt};
+    }
+    lane_state& lane = m_lanes[request.service];
+    lane.share = std::max<double>(request.share, 1);
+    // A statement of a transaction never yields to the estimate: its connection serves nobody else
+    // until the transaction ends.
+    if (!request.holds_connection &&
+        now + expected_wait(lane, request.deadline, slots) > request.deadline) {
+        return {reason::overloaded, std::nullopt};
+    }
+    std::optional<std::uint64_t> evicted;
+    if (m_size >= capacity) {
+        evicted = evict_for(lane);
+        if (!evicted) {
+            return {reason::overloaded, std::nullopt};
+        }
+    }
+    if (lane.size() == 0) {
+        // A service that was idle gets no credit for the time in which it asked for nothing.
+        lane.start = std::max(lane.start, m_virtual_time);
+    }
+    entries& list = request.holds_connection ? lane.bound : lane.unbound;
+    list.insert(place_of(list, request.deadline), {request.deadline, request.number});
+    ++m_size;
+    return {std::nullopt, evicted};
+}
+
+duration admission::expected_wait(const lane_state& lane, instant deadline,
+                                  std::uint32_t slots) const {
+    const auto ahead_in = [deadline](const entries& list) {
+        return static_cast<double>(list.end() - place_of(list, deadline));
+    };
+    double shares = lane.size() == 0 ? lane.share : 0;
+    for (const auto& [service, other] : m_lanes) {
+        shares += other.size() == 0 ? 0 : other.share;
+    }
+    // The fair queue serves the other services in proportion to their shares meanwhile, but never
+    // more entries than there are. Without this, one service's backlog would refuse the others.
+    const double own = ahead_in(lane.bound) + ahead_in(lane.unbound);
+    const double ahead = std::min(static_cast<double>(m_size), own * shares / lane.share);
+    return m_mean * (ahead / std::max<double>(slots, 1));
+}
+
+std::optional<std::uint64_t> admission::evict_for(const lane_state& newcomer) {
+    const double newcomer_use = static_cast<double>(newcomer.size() + 1) / newcomer.share;
+    lane_state* worst = nullptr;
+    double worst_use = newcomer_use;
+    for (auto& [service, lane] : m_lanes) {
+        const double use = static_cast<double>(lane.size()) / lane.share;
+        if (!lane.unbound.empty() && use > worst_use) {
+            worst = &lane;
+            worst_use = use;
+        }
+    }
+    if (worst == nullptr) {
+        return std::nullopt;
+    }
+    const std::uint64_t number = worst->unbound.front().number;
+    worst->unbound.erase(worst->unbound.begin());
+    --m_size;
+    return number;
+}
+
+std::optional<admission::dispatched> admission::pop(bool connection_idle,
+                                                    const service_predicate& below_share) {
+    lane_state* best = nullptr;
+    entries* from = nullptr;
+    for (auto& [service, lane] : m_lanes) {
+        if (lane.size() == 0) {
+            continue;
+        }
+        bool unbound = connection_idle && !lane.unbound.empty();
+        if (unbound && !below_share(service)) {
+            // A service that waits for its own connections gets no credit for that time.
+            unbound = false;
+            lane.start = std::max(lane.start, m_virtual_time);
+        }
+        if ((!unbound && lane.bound.empty()) || (best != nullptr && lane.start >= best->start)) {
+            continue;
+        }
+        const bool take_bound =
+            !unbound ||
+            (!lane.bound.empty() && lane.bound.back().deadline <= lane.unbound.back().deadline);
+        best = &lane;
+        from = take_bound ? &lane.bound : &lane.unbound;
+    }
+    if (best == nullptr) {
+        return std::nullopt;
+    }
+    return take(*best, *from);
+}
+
+admission::dispatched admission::take(lane_state& lane, entries& from) {
+    const duration charged = m_mean > duration{} ? m_mean : assumed_time;
+    const dispatched result{from.back().number, charged};
+    from.pop_back();
+    --m_size;
+    m_virtual_time = std::max(m_virtual_time, lane.start);
+    lane.start += static_cast<double>(charged.us()) / lane.share;
+    return result;
+}
+
+void admission::complete(const service_id& service, duration charged, duration taken) {
+    m_mean = m_mean == duration{} ? taken : m_mean + (taken - m_mean) / mean_weight;
+    refund(service, charged - taken);
+}
+
+void admission::refund(const service_id& service, duration charged) {
+    const auto found = m_lanes.find(service);
+    if (found != m_lanes.end()) {
+        found->second.start -= static_cast<double>(charged.us()) / found->second.share;
+    }
+}
+
+bool admission::remove(const service_id& service, std::uint64_t number) {
+    const auto found = m_lanes.find(service);
+    if (found == m_lanes.end()) {
+        return false;
+    }
+    const bool removed =
+        erase_number(found->second.unbound, number) || erase_number(found->second.bound, number);
+    m_size -= removed ? 1 : 0;
+    return removed;
+}
+
+std::vector<std::uint64_t> admission::take_expired(instant now) {
+    std::vector<std::uint64_t> expired;
+    for (auto& [service, lane] : m_lanes) {
+        for (entries* list : {&lane.bound, &lane.unbound}) {
+            while (!list->empty() && list->back().deadline <= now) {
+                expired.push_back(list->back().number);
+                list->pop_back();
+                --m_size;
+            }
+        }
+    }
+    return expired;
+}
+
+std::optional<instant> admission::next_deadline() const {
+    std::optional<instant> next;
+    for (const auto& [service, lane] : m_lanes) {
+        for (const entries* list : {&lane.bound, &lane.unbound}) {
+            if (!list->empty() && (!next || list->back().deadline < *next)) {
+                next = list->back().deadline;
+            }
+        }
+    }
+    return next;
+}
+
+}  // namespace jasminelead
--- /dev/null
+++ b/src/owner_run.cc
@@ -0,0 +1,563 @@
+#include <algorithm>
+
+#include "jasminelead/owner.h"
+
+namespace jasminelead {
+namespace {
+
+using namespace literals;
+
+/// A read can be repeated elsewhere, so it does not wait for a silent connection to its deadline.
+constexpr duration read_silence_limit = 2_s;
+constexpr duration leaving_limit = 3_s;
+
+using place = detail::pending_call::place;
+
+/// Statements of a transaction that is already open.
+bool in_transaction(request_kind kind) {
+    return kind == request_kind::execute || kind == request_kind::commit ||
+           kind == request_kind::rollback;
+}
+
+bool is_write(const statement_call& call) {
+    return call.kind == request_kind::commit ||
+           (call.kind == request_kind::statement && !call.read);
+}
+
+/// The answer counts only when a majority confirms its term.
+bool needs_confirmation(const statement_call& call) {
+    return is_write(call) || (call.kind == request_kind::statement && call.confirm);
+}
+
+bool needs_primary(const statement_call& call) {
+    return needs_confirmation(call) || call.kind == request_kind::begin ||
+           call.kind == request_kind::execute;
+}
+
+bool needs_majority(const statement_call& call) {
+    return needs_confirmation(call) || call.kind == request_kind::begin;
+}
+
+}  // namespace
+
+// ---- Arrival
+// -------------------------------------------------------------------------------------
+
+void owner::on_call(const host_id& from, statement_call call, instant now, action_list& out) {
+    m_now = now;
+    pending_call pending;
+    pending.from = from;
+    pending.deadline = now + call.remaining;
+    pending.transaction = in_transaction(call.kind) ? call.transaction.number : 0;
+    pending.call = std::move(call);
+    const reason why = check_arrival(pending, now);
+    if (why != reason::none) {
+        reply(pending, not_run{why, ""}, std::nullopt, out);
+        return;
+    }
+    endpoint& at = *find(pending.call.endpoint);
+    const std::uint64_t number = ++m_last_call;
+    if (pending.transaction != 0) {
+        at.transactions.at(pending.transaction).call = number;
+    }
+    at.calls.emplace(number, std::move(pending));
+    enqueue(at, number, now, out);
+    dispatch(at, now, out);
+}
+
+reason owner::check_arrival(const pending_call& pending, instant now) const {
+    const statement_call& call = pending.call;
+    if (pending.deadline <= now) {
+        return reason::deadline;
+    }
+    if (in_transaction(call.kind)) {
+        return check_transaction(call);
+    }
+    if (m_context.config == nullptr) {
+        return reason::no_table;
+    }
+    if (service(call.service) == nullptr) {
+        return reason::unknown_service;
+    }
+    const endpoint* at = find(call.endpoint);
+    if (at == nullptr || at->group != call.group) {
+        return reason::not_owner;
+    }
+    const host_id* holder = m_context.fleet->owner_of(at->id);
+    const bool ours = holder != nullptr && *holder == m_context.self;
+    const bool holds = at->claim.held() && (ours || !at->handover_until);
+    const bool will_hold = ours && !at->claim.in_hold_down(now);
+    if (m_draining || (!holds && !will_hold)) {
+        return reason::not_owner;
+    }
+    return service_share(*at, call.service) == 0 ? reason::connection_limit : reason::none;
+}
+
+reason owner::check_transaction(const statement_call& call) const {
+    const transaction_ref& ref = call.transaction;
+    if (ref.owner != m_context.self || ref.incarnation != m_context.incarnation) {
+        return reason::transaction_unknown;
+    }
+    if (m_lost.contains(ref.number)) {
+        return reason::transaction_lost;
+    }
+    const endpoint* at = find(call.endpoint);
+    if (at == nullptr) {
+        return reason::transaction_unknown;
+    }
+    const auto found = at->transactions.find(ref.number);
+    if (found == at->transactions.end() || found->second.service != call.service) {
+        return reason::transaction_unknown;
+    }
+    return found->second.call != 0 ? reason::overloaded : reason::none;
+}
+
+owner::gate owner::gate_of(const endpoint& at, const pending_call& pending, instant now) const {
+    const bool new_work = pending.transaction == 0;
+    if (at.leaving_since && new_work) {
+        const bool too_late = now - *at.leaving_since > leaving_limit;
+        if (too_late || !needs_primary(pending.call)) {
+            return {false, reason::endpoint_leaving};
+        }
+    }
+    return needs_primary(pending.call) ? primary_gate_of(at, pending, now) : gate{};
+}
+
+owner::gate owner::primary_gate_of(const endpoint& at, const pending_call& pending,
+                                   instant now) const {
+    const group_view& view = m_groups.view(at.group);
+    const bool held = m_groups.writes_held(at.group);
+    const bool new_work = pending.transaction == 0;
+    if (view.primary.empty() && held) {
+        return {true, reason::none};
+    }
+    if (view.primary != at.id) {
+        return {false, new_work ? reason::not_primary : reason::transaction_lost};
+    }
+    if (!new_work && at.transactions.at(pending.transaction).term != view.term) {
+        return {false, reason::transaction_lost};
+    }
+    // Open transactions are work in progress: a hold keeps only new writes back.
+    if (held && new_work && !(pending.call.kind == request_kind::statement && pending.call.read)) {
+        return {true, reason::none};
+    }
+    if (needs_majority(pending.call) && !m_confirmations.has_majority(at.group, now)) {
+        return {false, reason::no_majority};
+    }
+    return {};
+}
+
+void owner::enqueue(endpoint& at, std::uint64_t number, instant now, action_list& out) {
+    pending_call& pending = at.calls.at(number);
+    const gate decision = gate_of(at, pending, now);
+    if (decision.refuse != reason::none) {
+        refuse_waiting(at, number, decision.refuse, now, out);
+        return;
+    }
+    const bool full = at.held + at.queue.size() >= admission::capacity;
+    if (decision.wait) {
+        ++at.held;
+        pending.where = place::held;
+        if (full) {
+            refuse_waiting(at, number, reason::overloaded, now, out);
+        }
+        return;
+    }
+    const service_row* row = service(pending.call.service);
+    const admission_request request{number, pending.call.service, row == nullptr ? 1 : row->share,
+                                    pending.deadline, pending.transaction != 0};
+    const admission::verdict verdict = at.queue.push(request, limits(at).slots, now);
+    if (verdict.evicted) {
+        refuse_waiting(at, *verdict.evicted, reason::overloaded, now, out);
+    }
+    if (verdict.refused) {
+        refuse_waiting(at, number, *verdict.refused, now, out);
+    }
+}
+
+void owner::recheck_waiting(endpoint& at, instant now, action_list& out) {
+    std::vector<std::uint64_t> waiting;
+    for (const auto& [number, pending] : at.calls) {
+        if (pending.where != place::running) {
+            waiting.push_back(number);
+        }
+    }
+    for (const std::uint64_t number : waiting) {
+        const auto found = at.calls.find(number);
+        if (found == at.calls.end()) {
+            continue;
+        }
+        pending_call& pending = found->second;
+        const gate decision = gate_of(at, pending, now);
+        if (decision.refuse != reason::none) {
+            refuse_waiting(at, number, decision.refuse, now, out);
+        } else if (decision.wait && pending.where == place::queued) {
+            at.queue.remove(pending.call.service, number);
+            pending.where = place::held;
+            ++at.held;
+        } else if (!decision.wait && pending.where == place::held) {
+            pending.where = place::queued;
+            --at.held;
+            enqueue(at, number, now, out);
+        }
+    }
+}
+
+void owner::refuse_waiting(endpoint& at, std::uint64_t number, reason why, instant now,
+                           action_list& out) {
+    const auto found = at.calls.find(number);
+    if (found == at.calls.end()) {
+        return;
+    }
+    const pending_call pending = std::move(found->second);
+    at.calls.erase(found);
+    if (pending.where == place::held) {
+        --at.held;
+    } else {
+        at.queue.remove(pending.call.service, number);
+    }
+    const auto transaction = at.transactions.find(pending.transaction);
+    if (transaction != at.transactions.end()) {
+        transaction->second.call = 0;
+        transaction->second.last_used = now;
+    }
+    reply(pending, not_run{why, ""}, std::nullopt, out);
+}
+
+// ---- Dispatch
+// ------------------------------------------------------------------------------------
+
+void owner::dispatch(endpoint& at, instant now, action_list& out) {
+    const std::uint32_t slots = limits(at).slots;
+    const admission::service_predicate below_share = [this, &at](const service_id& service) {
+        return at.pool.in_use(service) < service_share(at, service);
+    };
+    while (at.claim.held() && at.running < slots) {
+        const auto next = at.queue.pop(at.pool.idle() > 0, below_share);
+        if (!next) {
+            break;
+        }
+        start(at, *next, now, out);
+    }
+    open_missing(at, now, out);
+}
+
+void owner::start(endpoint& at, const admission::dispatched& next, instant now, action_list& out) {
+    pending_call& pending = at.calls.at(next.number);
+    gate decision = gate_of(at, pending, now);
+    if (pending.deadline <= now) {
+        decision = {false, reason::deadline};
+    }
+    if (decision.wait) {
+        at.queue.refund(pending.call.service, next.charged);
+        pending.where = place::held;
+        ++at.held;
+        return;
+    }
+    if (decision.refuse == reason::none && !assign_connection(at, pending, now)) {
+        decision.refuse = reason::invariant_broken;
+    }
+    if (decision.refuse != reason::none) {
+        at.queue.refund(pending.call.service, next.charged);
+        refuse_waiting(at, next.number, decision.refuse, now, out);
+        return;
+    }
+    pending.charged = next.charged;
+    send_statement(at, next.number, pending, now, out);
+}
+
+/// Sets the connection of the call when every promise about it holds.
+bool owner::assign_connection(endpoint& at, pending_call& pending, instant now) {
+    const bool leaving_late = at.leaving_since && now - *at.leaving_since > leaving_limit;
+    const bool new_work = pending.transaction == 0;
+    if (!check(promise::leaving_endpoint, !new_work || !leaving_late) ||
+        !check(promise::connection_limit, at.running < limits(at).slots)) {
+        return false;
+    }
+    if (!new_work) {
+        const connection_id bound = at.transactions.at(pending.transaction).connection;
+        const pooled_connection* connection = at.pool.find(bound);
+        const bool isolated = connection != nullptr && connection->call == 0 &&
+                              connection->transaction == pending.transaction;
+        if (!check(promise::transaction_isolation, isolated)) {
+            return false;
+        }
+        pending.connection = bound;
+        return true;
+    }
+    const service_id& user = pending.call.service;
+    const auto taken = at.pool.take(user, now);
+    if (!taken) {
+        return false;
+    }
+    pooled_connection& connection = *at.pool.find(*taken);
+    const bool isolated = connection.transaction == 0 && connection.call == 0;
+    if (!check(promise::connection_limit, at.pool.in_use(user) <= service_share(at, user)) ||
+        !check(promise::transaction_isolation, isolated)) {
+        at.pool.put_back(*taken, now);
+        return false;
+    }
+    if (pending.call.kind == request_kind::begin) {
+        connection.transaction = ++m_last_transaction;
+        pending.transaction = connection.transaction;
+    }
+    pending.connection = *taken;
+    return true;
+}
+
+void owner::send_statement(endpoint& at, std::uint64_t number, pending_call& pending, instant now,
+                           action_list& out) {
+    statement_call& call = pending.call;
+    pooled_connection& connection = *at.pool.find(pending.connection);
+    connection.call = number;
+    ++connection.sequence;
+    ++at.running;
+    pending.where = place::running;
+    pending.started = now;
+    pending.silent_at =
+        call.read ? std::min(pending.deadline, now + read_silence_limit) : pending.deadline;
+    const auto transaction = at.transactions.find(pending.transaction);
+    if (transaction != at.transactions.end()) {
+        pending.term = transaction->second.term;
+    } else if (!call.read || call.kind == request_kind::begin) {
+        pending.term = m_groups.view(at.group).term;
+    }
+    const term_number term = call.read ? 0 : pending.term;
+    out.emplace_back(run_statement{at.id, pending.connection, connection.sequence, call.kind,
+                                   std::move(call.text), call.read, term});
+}
+
+void owner::open_missing(endpoint& at, instant now, action_list& out) {
+    if (!at.claim.held() || now < at.next_open) {
+        return;
+    }
+    const std::uint32_t demand = connection_demand(at);
+    if (demand == 0 && !at.wanted) {
+        return;
+    }
+    const std::uint32_t limit = limits(at).max_connections;
+    const std::uint32_t missing = at.pool.missing(demand, limit, now);
+    for (std::uint32_t i = 0; i < missing; ++i) {
+        if (!check(promise::connection_limit, at.pool.size() < limit)) {
+            return;
+        }
+        const connection_id id = ++m_last_connection;
+        at.pool.add_opening(id);
+        out.emplace_back(open_connection{at.id, id, at.claim.epoch()});
+    }
+}
+
+std::uint32_t owner::connection_demand(const endpoint& at) const {
+    std::size_t demand = 0;
+    at.queue.visit_waiting([&](const service_id& service, std::size_t waiting) {
+        const std::uint32_t share = service_share(at, service);
+        const std::uint32_t used = at.pool.in_use(service);
+        demand += std::min<std::size_t>(waiting, share > used ? share - used : 0);
+    });
+    const std::uint32_t slots = limits(at).slots;
+    const std::uint32_t free_slots = slots > at.running ? slots - at.running : 0;
+    return static_cast<std::uint32_t>(std::min<std::size_t>(demand, free_slots));
+}
+
+void owner::close_surplus(endpoint& at, instant now, action_list& out) {
+    for (const connection_id id : at.pool.take_surplus(limits(at).max_connections, now)) {
+        out.emplace_back(close_connection{at.id, id});
+    }
+}
+
+// ---- Answers
+// -------------------------------------------------------------------------------------
+
+void owner::on_answered(statement_answered answered, instant now, action_list& out) {
+    m_now = now;
+    m_groups.on_stamp(answered.endpoint, answered.stamp, now, out);
+    endpoint* at = find(answered.endpoint);
+    const pooled_connection* connection =
+        at == nullptr ? nullptr : at->pool.find(answered.connection);
+    if (connection == nullptr) {
+        return;
+    }
+    const bool expected = connection->call != 0 && connection->sequence == answered.sequence;
+    if (m_context.enabled.connection_discard && !expected) {
+        close(*at, answered.connection, reason::answer_mismatch, now, out);
+    } else if (connection->call != 0) {
+        const std::uint64_t number = connection->call;
+        if (check(promise::answer_integrity, expected)) {
+            finish(*at, take_running(*at, number, now), std::move(answered), now, out);
+        } else {
+            close(*at, answered.connection, reason::invariant_broken, now, out);
+        }
+    }
+    if (at->handover_until) {
+        step(*at, now, out);
+        return;
+    }
+    close_surplus(*at, now, out);
+    dispatch(*at, now, out);
+}
+
+/// Removes a call from the running ones; its connection keeps its user.
+owner::pending_call owner::take_running(endpoint& at, std::uint64_t number, instant now) {
+    const auto found = at.calls.find(number);
+    pending_call pending = std::move(found->second);
+    at.calls.erase(found);
+    --at.running;
+    at.queue.complete(pending.call.service, pending.charged, now - pending.started);
+    if (pooled_connection* connection = at.pool.find(pending.connection)) {
+        connection->call = 0;
+    }
+    const auto transaction = at.transactions.find(pending.transaction);
+    if (transaction != at.transactions.end()) {
+        transaction->second.call = 0;
+        transaction->second.last_used = now;
+    }
+    return pending;
+}
+
+void owner::finish(endpoint& at, pending_call pending, statement_answered answered, instant now,
+                   action_list& out) {
+    settle_connection(at, pending, answered.status, now, out);
+    if (answered.status == run_status::ok) {
+        finish_ok(std::move(pending), std::move(answered), now, out);
+        return;
+    }
+    reason why = reason::statement_error;
+    if (answered.status == run_status::refused) {
+        const bool commit = pending.call.kind == request_kind::commit;
+        why = commit ? reason::transaction_lost : reason::endpoint_refused;
+    }
+    pending.refused = true;
+    reply(pending, not_run{why, std::move(answered.result)}, answered.stamp, out);
+}
+
+void owner::settle_connection(endpoint& at, const pending_call& pending, run_status status,
+                              instant now, action_list& out) {
+    const bool ok = status == run_status::ok;
+    switch (pending.call.kind) {
+        case request_kind::statement:
+            at.pool.put_back(pending.connection, now);
+            break;
+        case request_kind::begin:
+            if (ok) {
+                at.transactions.emplace(
+                    pending.transaction,
+                    detail::open_transaction{pending.connection, pending.call.service, pending.term,
+                                             0, now});
+            } else {
+                at.pool.put_back(pending.connection, now);
+            }
+            break;
+        case request_kind::execute:
+            // An endpoint that refuses a statement no longer has the transaction.
+            if (status == run_status::refused) {
+                lose_transaction(at, pending.transaction, now, out);
+            }
+            break;
+        case request_kind::commit:
+        case request_kind::rollback:
+            if (ok) {
+                at.transactions.erase(pending.transaction);
+                at.pool.put_back(pending.connection, now);
+            } else {
+                lose_transaction(at, pending.transaction, now, out);
+            }
+            break;
+    }
+}
+
+void owner::finish_ok(pending_call pending, statement_answered answered, instant now,
+                      action_list& out) {
+    if (!needs_confirmation(pending.call)) {
+        reply(pending, done{std::move(answered.result)}, answered.stamp, out);
+        return;
+    }
+    const auto ticket = m_confirmations.submit(pending.call.group, pending.call.endpoint,
+                                               answered.stamp, pending.deadline, now, out);
+    m_confirming.emplace(
+        ticket, confirming_call{std::move(pending), answered.stamp, std::move(answered.result)});
+}
+
+void owner::on_confirmations(instant now, action_list& out) {
+    m_now = now;
+    for (const write_confirmation::result& result : m_confirmations.take_results()) {
+        const auto found = m_confirming.find(result.id);
+        if (found == m_confirming.end()) {
+            continue;
+        }
+        confirming_call call = std::move(found->second);
+        m_confirming.erase(found);
+        const group_view& view = m_groups.view(call.pending.call.group);
+        const bool current = call.stamp.term == view.term &&
+                             call.stamp.role == endpoint_role::primary &&
+                             view.primary == call.pending.call.endpoint;
+        // The view may have moved on after the majority confirmed the term.
+        const bool acknowledged = result.confirmed && (current || !m_context.enabled.fencing);
+        if (!acknowledged) {
+            reply(call.pending, unknown_outcome{reason::unconfirmed, ""}, call.stamp, out);
+        } else if (!check(promise::superseded_ack, current)) {
+            reply(call.pending, unknown_outcome{reason::invariant_broken, ""}, call.stamp, out);
+        } else {
+            reply(call.pending, done{std::move(call.result)}, call.stamp, out);
+        }
+    }
+}
+
+/// Closes a connection; a call that runs on it has an unknown outcome.
+void owner::close(endpoint& at, connection_id connection, reason why, instant now,
+                  action_list& out) {
+    out.emplace_back(close_connection{at.id, connection});
+    lose_connection(at, connection, why, now, out);
+}
+
+void owner::lose_connection(endpoint& at, connection_id connection, reason why, instant now,
+                            action_list& out) {
+    const pooled_connection* found = at.pool.find(connection);
+    if (found == nullptr) {
+        return;
+    }
+    if (found->call != 0) {
+        const pending_call pending = take_running(at, found->call, now);
+        reply(pending, unknown_outcome{why, ""}, std::nullopt, out);
+    }
+    const auto transaction = at.transactions.find(found->transaction);
+    if (transaction != at.transactions.end()) {
+        const std::uint64_t waiting = transaction->second.call;
+        m_lost.add(transaction->first, now);
+        at.transactions.erase(transaction);
+        refuse_waiting(at, waiting, reason::transaction_lost, now, out);
+    }
+    at.pool.remove(connection, now);
+}
+
+void owner::lose_transaction(endpoint& at, std::uint64_t number, instant now, action_list& out) {
+    const auto found = at.transactions.find(number);
+    if (found != at.transactions.end()) {
+        close(at, found->second.connection, reason::connection_lost, now, out);
+    }
+}
+
+void owner::reply(const pending_call& pending, outcome result, std::optional<position_stamp> stamp,
+                  action_list& out) {
+    const bool sent = pending.connection != 0;
+    const bool claims_not_run = std::holds_alternative<not_run>(result);
+    if (!check(promise::not_run_truth, !claims_not_run || !sent || pending.refused)) {
+        result = unknown_outcome{reason::invariant_broken, ""};
+    }
+    statement_reply message;
+    message.id = pending.call.id;
+    message.endpoint = pending.call.endpoint;
+    message.transaction = pending.call.transaction;
+    const bool begun =
+        pending.call.kind == request_kind::begin && std::holds_alternative<done>(result);
+    if (begun) {
+        message.transaction = {m_context.self, m_context.incarnation, pending.transaction};
+    }
+    message.result = std::move(result);
+    message.stamp = stamp;
+    if (find(pending.call.endpoint) != nullptr) {
+        message.view = m_groups.view(pending.call.group);
+    }
+    out.emplace_back(send_peer{pending.from, std::move(message)});
+}
+
+}  // namespace jasminelead
--- /dev/null
+++ b/test/admission_test.cc
@@ -0,0 +1,137 @@
+#include "jasminelead/admission.h"
+
+#include <catch2/catch.hpp>
+#include <map>
+#include <string>
+
+using namespace jasminelead;
+using namespace jasminelead::literals;
+
+namespace {
+
+const service_id entries{"entries"};
+const service_id fees{"fees"};
+const instant start;
+constexpr std::uint32_t slots = 2;
+
+bool always(const service_id& /*service*/) {
+    return true;
+}
+
+/// Queues `count` entries with numbers from `first` on, each due 1 ms after the one before.
+void fill(admission& queue, const service_id& service, std::uint32_t share, std::uint64_t first,
+          std::uint64_t count) {
+    for (std::uint64_t i = 0; i < count; ++i) {
+        const instant deadline = start + 60_s + 1_ms * static_cast<double>(i);
+        REQUIRE_FALSE(
+            queue.push({first + i, service, share, deadline, false}, slots, start).refused);
+    }
+}
+
+}  // namespace
+
+// Guards against answers that arrive in time for nobody: the most urgent call must go first.
+TEST_CASE("the earliest deadline of a service goes first") {
+    admission queue;
+    queue.push({1, entries, 1, start + 3_s, false}, slots, start);
+    queue.push({2, entries, 1, start + 1_s, false}, slots, start);
+    queue.push({3, entries, 1, start + 1_s, false}, slots, start);
+    CHECK(queue.pop(true, always)->number == 2);
+    CHECK(queue.pop(true, always)->number == 3);
+    CHECK(queue.pop(true, always)->number == 1);
+    CHECK_FALSE(queue.pop(true, always));
+}
+
+// Guards against a service that takes the slots of the others by sending more.
+TEST_CASE("services with a backlog are served in proportion to their shares") {
+    admission queue;
+    fill(queue, entries, 3, 1000, 100);
+    fill(queue, fees, 1, 2000, 100);
+    std::map<service_id, int> served;
+    for (int i = 0; i < 80; ++i) {
+        const auto next = queue.pop(true, always);
+        const service_id& service = next->number < 2000 ? entries : fees;
+        queue.complete(service, next->charged, 2_ms);
+        ++served[service];
+    }
+    CHECK(served[entries] >= 58);
+    CHECK(served[entries] <= 62);
+}
+
+// Guards against counting statements instead of work: long statements use up a share faster.
+TEST_CASE("a service with long statements is served less often") {
+    admission queue;
+    fill(queue, entries, 1, 1000, 100);
+    fill(queue, fees, 1, 2000, 100);
+    std::map<service_id, int> served;
+    for (int i = 0; i < 80; ++i) {
+        const auto next = queue.pop(true, always);
+        const bool is_entry = next->number < 2000;
+        queue.complete(is_entry ? entries : fees, next->charged, is_entry ? 9_ms : 3_ms);
+        ++served[is_entry ? entries : fees];
+    }
+    CHECK(served[fees] >= 56);
+    CHECK(served[fees] <= 64);
+}
+
+// Guards against calls that wait in the queue for a time that they do not have.
+TEST_CASE("a call is refused early when the queue ahead passes its deadline") {
+    admission queue;
+    queue.complete(entries, {}, 10_ms);
+    fill(queue, entries, 1, 1, 20);
+    // 20 entries of 10 ms on 2 slots take 100 ms.
+    CHECK(
+        queue.push({100, entries, 1, start + 61_s, false}, slots, start + 60_s + 950_ms).refused ==
+        reason::overloaded);
+    CHECK_FALSE(
+        queue.push({101, entries, 1, start + 61_s, false}, slots, start + 60_s + 850_ms).refused);
+    // An urgent call has nothing ahead of it.
+    CHECK_FALSE(queue.push({102, entries, 1, start + 20_ms, false}, slots, start).refused);
+    CHECK(queue.push({103, entries, 1, start, false}, slots, start).refused == reason::deadline);
+}
+
+// Guards against one service's backlog that refuses the calls of another service.
+TEST_CASE("the backlog of one service neither refuses nor delays another") {
+    admission queue;
+    queue.complete(entries, {}, 10_ms);
+    fill(queue, entries, 1, 1, admission::capacity);
+    CHECK(queue.push({900, entries, 1, start + 70_s, false}, slots, start).refused ==
+          reason::overloaded);
+    const auto verdict = queue.push({901, fees, 1, start + 50_ms, false}, slots, start);
+    CHECK_FALSE(verdict.refused);
+    CHECK(verdict.evicted == admission::capacity);
+    CHECK(queue.size() == admission::capacity);
+    queue.pop(true, always);
+    CHECK(queue.pop(true, always)->number == 901);
+}
+
+// Guards against a service at its connection limit that blocks the whole endpoint.
+TEST_CASE("a service at its connection share waits while others go on") {
+    admission queue;
+    fill(queue, entries, 1, 1, 2);
+    fill(queue, fees, 1, 10, 1);
+    const auto only_fees = [](const service_id& service) { return service == fees; };
+    CHECK(queue.pop(true, only_fees)->number == 10);
+    CHECK_FALSE(queue.pop(true, only_fees));
+    CHECK(queue.size() == 2);
+}
+
+// Guards against a deadlock: all connections are held by transactions that wait for new calls.
+TEST_CASE("a statement of a transaction needs no idle connection") {
+    admission queue;
+    fill(queue, entries, 1, 1, 1);
+    queue.push({2, entries, 1, start + 90_s, true}, slots, start);
+    CHECK(queue.pop(false, always)->number == 2);
+    CHECK_FALSE(queue.pop(false, always));
+}
+
+TEST_CASE("expired and removed entries leave the queue") {
+    admission queue;
+    fill(queue, entries, 1, 1, 3);
+    queue.push({9, fees, 1, start + 1_s, true}, slots, start);
+    CHECK(queue.next_deadline() == start + 1_s);
+    CHECK(queue.take_expired(start + 1_s) == std::vector<std::uint64_t>{9});
+    CHECK(queue.remove(entries, 2));
+    CHECK_FALSE(queue.remove(entries, 2));
+    CHECK(queue.size() == 2);
+}
--- /dev/null
+++ b/test/endpoint_claim_test.cc
@@ -0,0 +1,126 @@
+#include "jasminelead/endpoint_claim.h"
+
+#include <catch2/catch.hpp>
+
+#include "endpoint_model.h"
+
+using namespace jasminelead;
+using namespace jasminelead::literals;
+
+namespace {
+
+using change = endpoint_claim::change;
+
+const endpoint_entry entry{endpoint_id{"shows-1-a"}, group_id{"shows-1"}, data_centre_id{"a"}, "",
+                           member_state::live};
+
+struct claimant {
+    explicit claimant(const char* name) { context.self = host_id{name}; }
+
+    /// Sends the call that is due and lets the endpoint answer it.
+    change step(support::endpoint_model& endpoint, instant now) {
+        action_list out;
+        claim.advance(context, true, last_call, now, out);
+        if (out.empty()) {
+            return change::none;
+        }
+        const auto& call = std::get<control_call>(out.front());
+        return claim.on_answer(context,
+                               {call.id, call.endpoint, endpoint.control(call.request, now)}, now);
+    }
+    change fail(instant now) {
+        action_list out;
+        claim.advance(context, true, last_call, now, out);
+        REQUIRE(out.size() == 1);
+        const auto& call = std::get<control_call>(out.front());
+        return claim.on_answer(context, {call.id, call.endpoint, endpoint_error::timeout}, now);
+    }
+
+    core_context context;
+    endpoint_claim claim{entry.id};
+    std::uint64_t last_call = 0;
+};
+
+void claim_fully(claimant& by, support::endpoint_model& endpoint, instant now) {
+    CHECK(by.step(endpoint, now) == change::none);
+    REQUIRE(by.step(endpoint, now) == change::acquired);
+}
+
+}  // namespace
+
+TEST_CASE("a claim uses the epoch that the endpoint reports") {
+    support::endpoint_model endpoint{entry, endpoint_role::primary, {}};
+    REQUIRE(endpoint.control(claim_request{0, host_id{"gone"}}, {}).accepted);
+    claimant x{"x"};
+    claim_fully(x, endpoint, {});
+    CHECK(x.claim.epoch() == 2);
+    CHECK_FALSE(x.claim.next_wakeup(true));
+}
+
+// Guards against a storm of control calls at an endpoint that does not answer.
+TEST_CASE("failed calls are repeated with a backoff of at most 1 s") {
+    claimant x{"x"};
+    instant now;
+    for (int i = 0; i < 12; ++i) {
+        CHECK(x.fail(now) == change::none);
+        const duration wait = *x.claim.next_wakeup(true) - now;
+        CHECK(wait >= 25_ms);
+        CHECK(wait <= 1_s);
+        CHECK((i < 6 || wait >= 500_ms));
+        now = now + wait;
+    }
+}
+
+// Guards against two daemons that take an endpoint from each other without end.
+TEST_CASE("a displaced daemon waits 2 s, doubled up to 30 s") {
+    support::endpoint_model endpoint{entry, endpoint_role::primary, {}};
+    claimant x{"x"};
+    instant now;
+    for (const double hold_down : {2000, 4000, 8000, 16000, 30000, 30000}) {
+        claim_fully(x, endpoint, now);
+        const epoch_number epoch = x.claim.epoch();
+        REQUIRE(endpoint.control(claim_request{epoch, host_id{"y"}}, now).accepted);
+        x.claim.verify();
+        CHECK(x.step(endpoint, now) == change::displaced);
+        CHECK(x.claim.next_wakeup(true) == now + duration::from_ms(hold_down));
+        now = now + duration::from_ms(hold_down);
+    }
+    claim_fully(x, endpoint, now);
+    now = now + 60_s;
+    x.claim.displace(now);
+    CHECK(x.claim.next_wakeup(true) == now + 2_s);
+}
+
+// Guards against a new owner that cuts off the work which the old owner is finishing.
+TEST_CASE("a live or leaving holder is waited for, a dead one is not") {
+    support::endpoint_model endpoint{entry, endpoint_role::primary, {}};
+    REQUIRE(endpoint.control(claim_request{0, host_id{"old"}}, {}).accepted);
+    claimant x{"x"};
+    x.context.leaving.insert(host_id{"old"});
+    CHECK(x.step(endpoint, {}) == change::none);
+    CHECK(x.step(endpoint, {}) == change::none);
+    CHECK(x.claim.next_wakeup(true) == instant::from_ms(100));
+    SECTION("until it releases the claim") {
+        REQUIRE(endpoint.control(release_request{1}, {}).accepted);
+        claim_fully(x, endpoint, instant::from_ms(100));
+    }
+    SECTION("until it is known to be dead") {
+        x.context.leaving.clear();
+        claim_fully(x, endpoint, instant::from_ms(100));
+    }
+    SECTION("at most 11 s") {
+        claim_fully(x, endpoint, instant::from_ms(11'000));
+    }
+}
+
+// Guards against a release that takes the claim of the next owner away.
+TEST_CASE("a release gives up only the own epoch") {
+    support::endpoint_model endpoint{entry, endpoint_role::primary, {}};
+    claimant x{"x"};
+    claim_fully(x, endpoint, {});
+    REQUIRE(endpoint.control(claim_request{1, host_id{"y"}}, {}).accepted);
+    x.claim.release(x.context, {});
+    x.step(endpoint, {});
+    CHECK(x.claim.inactive());
+    CHECK(endpoint.state({}).owner == host_id{"y"});
+}
