Test the owner and pause an endpoint while its claim is verified

After an unexpected close the other connections of the endpoint are probably closed too, as when another daemon claimed it. Statements wait for the status answer instead of running on a closed connection, which would leave their outcome unknown.

--- a/include/jasminelead/endpoint_claim.h
+++ b/include/jasminelead/endpoint_claim.h
@@ -28,6 +28,8 @@
     void release(const core_context& context, instant now);
 
     [[nodiscard]] bool held() const { return m_phase == phase::held; }
+    /// The answer to verify() is outstanding.
+    [[nodiscard]] bool verifying() const { return held() && (m_verify || m_call != 0); }
     /// No claim is held, taken or released.
     [[nodiscard]] bool inactive() const { return m_phase == phase::none && m_call == 0; }
     [[nodiscard]] bool in_hold_down(instant now) const { return now < m_hold_down_until; }
--- a/src/endpoint_claim.cc
+++ b/src/endpoint_claim.cc
@@ -30,7 +30,9 @@
                              instant now, action_list& out) {
     if (m_call != 0 && m_call_expires <= now) {
         m_call = 0;
-        retry_later(context, now);
+        if (!held()) {
+            retry_later(context, now);
+        }
     }
     if (m_call != 0 || now < m_next_attempt || now < m_hold_down_until) {
         return;
@@ -84,10 +86,13 @@
     if (const auto* result = std::get_if<control_result>(&answered.answer)) {
         return on_result(context, *result, now);
     }
-    const bool was_held = held();
+    if (held()) {
+        // Without an answer the claim counts as held; a new connection would disprove it.
+        return change::none;
+    }
     retry_later(context, now);
     const bool refused = std::get<endpoint_error>(answered.answer) == endpoint_error::refused;
-    return refused && !was_held ? change::unreachable : change::none;
+    return refused ? change::unreachable : change::none;
 }
 
 endpoint_claim::change endpoint_claim::on_result(core_context& context,
@@ -147,6 +152,7 @@
     m_phase = phase::held;
     m_epoch = epoch;
     m_backoff = duration{};
+    m_next_attempt = now;
     m_held_since = now;
     m_verify = false;
     m_waiting_for = host_id{};
--- a/src/owner_run.cc
+++ b/src/owner_run.cc
@@ -232,7 +232,9 @@
     const admission::service_predicate below_share = [this, &at](const service_id& service) {
         return at.pool.in_use(service) < service_share(at, service);
     };
-    while (at.claim.held() && at.running < slots) {
+    // After an unexpected close the other connections are probably closed too. A statement
+    // sent on one of them would have an unknown outcome.
+    while (at.claim.held() && !at.claim.verifying() && at.running < slots) {
         const auto next = at.queue.pop(at.pool.idle() > 0, below_share);
         if (!next) {
             break;
--- /dev/null
+++ b/test/owner_test.cc
@@ -0,0 +1,826 @@
+#include "jasminelead/owner.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <functional>
+#include <map>
+#include <random>
+
+#include "endpoint_model.h"
+
+using namespace jasminelead;
+using namespace jasminelead::literals;
+using support::endpoint_model;
+
+namespace {
+
+const group_id group{"shows"};
+const endpoint_id a{"a"};
+const endpoint_id b{"b"};
+const service_id entries{"entries"};
+const service_id fees{"fees"};
+
+struct fake_groups : group_authority {
+    const group_view& view(const group_id& /*group*/) const override { return current; }
+    bool writes_held(const group_id& /*group*/) const override { return held; }
+    void on_stamp(const endpoint_id& /*endpoint*/, const position_stamp& /*stamp*/, instant /*now*/,
+                  action_list& /*out*/) override {
+        ++stamps;
+    }
+    void on_connection_error(const endpoint_id& /*endpoint*/, endpoint_error error, instant /*now*/,
+                             action_list& /*out*/) override {
+        errors.push_back(error);
+    }
+    group_view current{1, a};
+    bool held = false;
+    int stamps = 0;
+    std::vector<endpoint_error> errors;
+};
+
+struct fake_confirmations : write_confirmation {
+    ticket submit(const group_id& /*group*/, const endpoint_id& /*primary*/,
+                  const position_stamp& /*executed*/, instant /*deadline*/, instant /*now*/,
+                  action_list& /*out*/) override {
+        waiting.push_back(++last);
+        return last;
+    }
+    std::vector<result> take_results() override {
+        std::vector<result> results;
+        for (const ticket id : std::exchange(waiting, {})) {
+            results.push_back({id, confirm});
+        }
+        return results;
+    }
+    bool has_majority(const group_id& /*group*/, instant /*now*/) const override {
+        return majority;
+    }
+    std::vector<ticket> waiting;
+    ticket last = 0;
+    bool confirm = true;
+    bool majority = true;
+};
+
+endpoint_model make_endpoint(const endpoint_id& id) {
+    const endpoint_entry entry{id, group, data_centre_id{"a"}, "", member_state::live};
+    return {entry, id == a ? endpoint_role::primary : endpoint_role::replica, {}};
+}
+
+struct call_spec {
+    endpoint_id endpoint = a;
+    request_kind kind = request_kind::statement;
+    service_id service = entries;
+    std::string text = {};
+    bool read = false;
+    bool confirm = false;
+    duration remaining = 5_s;
+    transaction_ref transaction = {};
+};
+
+/// One daemon with its links to the endpoint models.
+class test_daemon {
+public:
+    test_daemon(const char* name, std::vector<endpoint_model*> endpoints, bool strict = true)
+        : checks{strict}, m_endpoints{std::move(endpoints)} {
+        context.self = host_id{name};
+        context.incarnation = 7;
+        context.checks = &checks;
+        m_table.services[entries] = {100, std::nullopt, 1};
+        m_table.services[fees] = {100, std::nullopt, 1};
+        m_table.endpoints[a] = m_table.endpoints[b] = {group, 100, 4, 2};
+        context.config = std::make_shared<table>(m_table);
+    }
+
+    void set_fleet(std::vector<const char*> hosts, member_state state = member_state::live) {
+        std::vector<host_entry> entries_of_hosts;
+        for (const char* host : hosts) {
+            entries_of_hosts.push_back({host_id{host}, data_centre_id{"a"}, "", {}});
+        }
+        std::vector<endpoint_entry> listed;
+        for (const endpoint_model* endpoint : m_endpoints) {
+            listed.push_back(endpoint->entry());
+            listed.back().state = state;
+        }
+        context.fleet = std::make_shared<directory>(entries_of_hosts, listed);
+        feed([&](action_list& out) { subject.on_fleet_changed(now, out); });
+    }
+    void set_table(const std::function<void(table&)>& edit) {
+        edit(m_table);
+        context.config = std::make_shared<table>(m_table);
+        feed([&](action_list& out) { subject.on_config_changed(now, out); });
+    }
+
+    /// Sends a call and returns its number.
+    std::uint64_t call(const call_spec& spec) {
+        const statement_call call{{call_module::entry, ++m_last_call},
+                                  spec.endpoint,
+                                  spec.kind,
+                                  spec.service,
+                                  group,
+                                  spec.text,
+                                  spec.read,
+                                  false,
+                                  spec.confirm,
+                                  spec.remaining,
+                                  spec.transaction};
+        feed([&](action_list& out) { subject.on_call(host_id{"entry"}, call, now, out); });
+        return m_last_call;
+    }
+    std::uint64_t read(const char* text = "get k") { return call({.text = text, .read = true}); }
+    std::uint64_t write(const char* text = "set k 1") { return call({.text = text}); }
+
+    void advance(duration time) {
+        now = now + time;
+        feed([&](action_list& out) { subject.tick(now, out); });
+    }
+    void confirm() {
+        feed([&](action_list& out) { subject.on_confirmations(now, out); });
+    }
+    void change_view(group_view view, bool held) {
+        groups.current = std::move(view);
+        groups.held = held;
+        feed([&](action_list& out) { subject.on_view_changed(group, now, out); });
+    }
+    void answer(std::size_t index = 0) {
+        REQUIRE(index < running.size());
+        const statement_answered first = running[index];
+        running.erase(running.begin() + static_cast<std::ptrdiff_t>(index));
+        feed([&](action_list& out) { subject.on_answered(first, now, out); });
+    }
+    void answer_all() {
+        while (!running.empty()) {
+            answer();
+        }
+    }
+    void lose(connection_id connection) {
+        const auto endpoint = m_open.find(connection);
+        if (endpoint != m_open.end()) {
+            const endpoint_id id = endpoint->second->entry().id;
+            endpoint->second->disconnect(model_id(connection));
+            m_open.erase(endpoint);
+            feed([&](action_list& out) {
+                subject.on_lost({id, connection, endpoint_error::reset}, now, out);
+            });
+        }
+    }
+    /// Reports the connections that an endpoint closed by itself.
+    void notice_closed() {
+        std::vector<connection_id> closed;
+        for (const auto& [connection, endpoint] : m_open) {
+            if (!endpoint->is_open(model_id(connection))) {
+                closed.push_back(connection);
+            }
+        }
+        for (const connection_id connection : closed) {
+            lose(connection);
+        }
+    }
+    void drain() {
+        feed([&](action_list& out) { subject.drain(now, out); });
+    }
+
+    /// Reason of a call's reply: none for done; a failed check when there is no reply.
+    reason result_of(std::uint64_t number) const {
+        REQUIRE(replies.count(number) == 1);
+        const outcome& result = replies.at(number).result;
+        if (const auto* refused = std::get_if<not_run>(&result)) {
+            return refused->why;
+        }
+        const auto* unknown = std::get_if<unknown_outcome>(&result);
+        return unknown == nullptr ? reason::none : unknown->why;
+    }
+    bool is_unknown(std::uint64_t number) const {
+        return std::holds_alternative<unknown_outcome>(replies.at(number).result);
+    }
+    transaction_ref begin() {
+        const std::uint64_t number = call({.kind = request_kind::begin});
+        answer_all();
+        REQUIRE(result_of(number) == reason::none);
+        return replies.at(number).transaction;
+    }
+    std::uint64_t in(const transaction_ref& ref, request_kind kind, const char* text = "") {
+        return call({.kind = kind, .text = text, .transaction = ref});
+    }
+    owner::endpoint_status status() const { return subject.status().front(); }
+
+    invariants checks;
+    core_context context;
+    fake_groups groups;
+    fake_confirmations confirmations;
+    owner subject{context, groups, confirmations};
+    instant now;
+    std::vector<statement_answered> running;  ///< Executed; the answers are not delivered yet.
+    std::map<std::uint64_t, statement_reply> replies;
+    std::vector<action> seen;
+
+private:
+    template <class Event>
+    void feed(Event event) {
+        action_list out;
+        event(out);
+        for (std::size_t i = 0; i < out.size(); ++i) {
+            seen.push_back(out[i]);
+            const action next = out[i];
+            std::visit([&](const auto& item) { perform(item, out); }, next);
+        }
+    }
+    endpoint_model& model(const endpoint_id& id) {
+        return **std::find_if(m_endpoints.begin(), m_endpoints.end(),
+                              [&](const auto* e) { return e->entry().id == id; });
+    }
+    /// Two daemons may choose the same number for a connection.
+    connection_id model_id(connection_id id) const {
+        return id + 1'000'000 * static_cast<connection_id>(context.self.str().front());
+    }
+    void perform(const control_call& item, action_list& out) {
+        const auto result = model(item.endpoint).control(item.request, now);
+        subject.on_control({item.id, item.endpoint, result}, now, out);
+    }
+    void perform(const open_connection& item, action_list& out) {
+        endpoint_model& endpoint = model(item.endpoint);
+        if (const auto error = endpoint.connect(model_id(item.connection), item.epoch)) {
+            subject.on_failed({item.endpoint, item.connection, *error}, now, out);
+            return;
+        }
+        m_open[item.connection] = &endpoint;
+        subject.on_opened({item.endpoint, item.connection, endpoint.stamp()}, now, out);
+    }
+    void perform(const close_connection& item, action_list& /*out*/) {
+        model(item.endpoint).disconnect(model_id(item.connection));
+        m_open.erase(item.connection);
+    }
+    void perform(const run_statement& item, action_list& /*out*/) {
+        const auto result =
+            model(item.endpoint)
+                .run(model_id(item.connection), item.kind, item.text, item.read, item.term);
+        running.push_back({item.endpoint, item.connection, item.sequence, result.status,
+                           result.result, result.stamp});
+    }
+    void perform(const send_peer& item, action_list& /*out*/) {
+        const auto& reply = std::get<statement_reply>(item.message);
+        const bool first = replies.emplace(reply.id.number, reply).second;
+        CHECK(first);
+    }
+    template <class Other>
+    void perform(const Other& /*item*/, action_list& /*out*/) {}
+
+    std::vector<endpoint_model*> m_endpoints;
+    std::map<connection_id, endpoint_model*> m_open;
+    table m_table;
+    std::uint64_t m_last_call = 0;
+};
+
+struct one_daemon {
+    explicit one_daemon(bool strict = true) : x{"x", {&primary, &replica}, strict} {
+        x.set_fleet({"x"});
+    }
+    endpoint_model primary = make_endpoint(a);
+    endpoint_model replica = make_endpoint(b);
+    test_daemon x;
+};
+
+std::uint32_t most_connections_of_two_owners(bool claim) {
+    endpoint_model endpoint = make_endpoint(a);
+    test_daemon x{"x", {&endpoint}};
+    test_daemon y{"y", {&endpoint}};
+    for (test_daemon* each : {&x, &y}) {
+        each->context.enabled.claim = claim;
+        each->set_table([](table& rows) { rows.endpoints[a].slots = 4; });
+        each->set_fleet({each == &x ? "x" : "y"});
+        for (int i = 0; i < 4; ++i) {
+            each->read();
+        }
+    }
+    return endpoint.most_connections();
+}
+
+}  // namespace
+
+// ---- Claims
+// --------------------------------------------------------------------------------------
+
+TEST_CASE("claims keep two owners within the connection limit of an endpoint") {
+    CHECK(most_connections_of_two_owners(true) == 4);
+}
+
+TEST_CASE("without claims two owners exceed the connection limit of an endpoint") {
+    CHECK(most_connections_of_two_owners(false) > 4);
+}
+
+// Guards against connections that are opened before the endpoint knows its owner.
+TEST_CASE("calls wait for the claim and no connection is opened without it") {
+    endpoint_model endpoint = make_endpoint(a);
+    REQUIRE(endpoint.control(claim_request{0, host_id{"old"}}, {}).accepted);
+    test_daemon x{"x", {&endpoint}};
+    x.context.leaving.insert(host_id{"old"});
+    x.set_fleet({"x"});
+    const auto waits = x.read();
+    CHECK(endpoint.connections() == 0);
+    CHECK(x.status().queued == 1);
+    REQUIRE(endpoint.control(release_request{1}, {}).accepted);
+    x.advance(100_ms);
+    x.answer_all();
+    CHECK(x.result_of(waits) == reason::none);
+    CHECK(x.status().epoch == 3);
+}
+
+// Guards against a paused owner that goes on with an endpoint which has a new owner.
+TEST_CASE("a displaced owner drops its work and waits before it claims again") {
+    one_daemon f;
+    const auto runs = f.x.write();
+    f.x.read();
+    const auto waits = f.x.read();
+    REQUIRE(f.primary.control(claim_request{1, host_id{"y"}}, {}).accepted);
+    f.x.notice_closed();
+    CHECK(f.x.result_of(runs) == reason::connection_lost);
+    CHECK(f.x.is_unknown(runs));
+    CHECK(f.x.result_of(waits) == reason::not_owner);
+    CHECK(f.x.result_of(f.x.read()) == reason::not_owner);
+    f.x.advance(1999_ms);
+    CHECK_FALSE(f.x.status().claimed);
+    f.x.context.leaving.clear();
+    f.x.advance(1_ms);
+    CHECK(f.x.status().claimed);
+}
+
+// Guards against a planned move that interrupts requests, and against one that never ends.
+TEST_CASE("a planned move finishes the running work and then releases the claim") {
+    one_daemon f;
+    const auto ref = f.x.begin();
+    const auto runs = f.x.write();
+    f.x.set_fleet({"y"});
+    CHECK(f.x.result_of(f.x.read()) == reason::not_owner);
+    f.x.answer_all();
+    f.x.confirm();
+    CHECK(f.x.result_of(runs) == reason::none);
+    CHECK(f.primary.state({}).owner == host_id{"x"});
+    SECTION("when the last transaction ends") {
+        const auto commit = f.x.in(ref, request_kind::commit);
+        f.x.answer_all();
+        f.x.confirm();
+        CHECK(f.x.result_of(commit) == reason::none);
+    }
+    SECTION("at the latest after 10 s") {
+        f.x.advance(9999_ms);
+        CHECK(f.primary.state({}).owner == host_id{"x"});
+        f.x.advance(1_ms);
+        CHECK(f.x.result_of(f.x.in(ref, request_kind::commit)) == reason::transaction_lost);
+    }
+    CHECK(f.primary.state({}).owner.empty());
+    CHECK(f.primary.connections() == 0);
+}
+
+TEST_CASE("a drained daemon has answered its calls and holds no claim") {
+    one_daemon f;
+    const auto runs = f.x.write();
+    f.x.drain();
+    CHECK_FALSE(f.x.subject.drained());
+    f.x.answer_all();
+    CHECK_FALSE(f.x.subject.drained());
+    f.x.confirm();
+    f.x.advance(1_ms);
+    CHECK(f.x.result_of(runs) == reason::none);
+    CHECK(f.x.subject.drained());
+    CHECK(f.primary.state({}).owner.empty());
+}
+
+// ---- Writes
+// --------------------------------------------------------------------------------------
+
+// Guards against an acknowledgement that no majority confirmed.
+TEST_CASE("a write is done only after its confirmation") {
+    one_daemon f;
+    const auto number = f.x.write();
+    f.x.answer_all();
+    CHECK(f.x.replies.empty());
+    SECTION("confirmed") {
+        f.x.confirm();
+        CHECK(f.x.result_of(number) == reason::none);
+        CHECK(f.x.replies.at(number).stamp->position == 1);
+        return;
+    }
+    SECTION("not confirmed") {
+        f.x.confirmations.confirm = false;
+        f.x.confirm();
+    }
+    SECTION("confirmed, but the view has moved to a higher term") {
+        f.x.change_view({2, b}, false);
+        f.x.confirm();
+    }
+    SECTION("no result before the deadline") {
+        f.x.advance(5_s);
+    }
+    CHECK(f.x.result_of(number) == reason::unconfirmed);
+    CHECK(f.x.is_unknown(number));
+}
+
+TEST_CASE("without fencing a superseded primary would acknowledge a write") {
+    one_daemon f{false};
+    f.x.context.enabled.fencing = false;
+    f.x.write();
+    f.x.answer_all();
+    f.x.change_view({2, b}, false);
+    f.x.confirm();
+    CHECK(f.x.checks.broken(promise::superseded_ack) == 1);
+}
+
+TEST_CASE("reads are answered at once, confirmed reads after their confirmation") {
+    one_daemon f;
+    const auto plain = f.x.read();
+    const auto confirmed = f.x.call({.text = "get k", .read = true, .confirm = true});
+    f.x.answer_all();
+    CHECK(f.x.result_of(plain) == reason::none);
+    CHECK(f.x.replies.count(confirmed) == 0);
+    f.x.confirm();
+    CHECK(f.x.result_of(confirmed) == reason::none);
+    CHECK(f.x.groups.stamps > 0);
+}
+
+TEST_CASE("writes run on the primary only and need a majority") {
+    one_daemon f;
+    const auto wrong = f.x.call({.endpoint = b, .text = "set k 1"});
+    CHECK(f.x.result_of(wrong) == reason::not_primary);
+    CHECK(f.x.replies.at(wrong).view == group_view{1, a});
+    f.x.confirmations.majority = false;
+    CHECK(f.x.result_of(f.x.write()) == reason::no_majority);
+    const auto read = f.x.read();
+    f.x.answer_all();
+    CHECK(f.x.result_of(read) == reason::none);
+}
+
+// Guards against writes that are lost or run at the old primary during a planned switch.
+TEST_CASE("held writes wait for the view or their deadline") {
+    one_daemon f;
+    f.x.change_view({1, a}, true);
+    const auto first = f.x.call({.text = "append k 1", .remaining = 900_ms});
+    const auto second = f.x.call({.text = "append k 2"});
+    CHECK(f.x.status().queued == 2);
+    CHECK(f.primary.log().empty());
+    SECTION("the view moves") {
+        f.x.change_view({2, b}, false);
+        CHECK(f.x.result_of(first) == reason::not_primary);
+        CHECK(f.x.replies.at(second).view == group_view{2, b});
+    }
+    SECTION("the hold ends") {
+        f.x.change_view({1, a}, false);
+        f.x.answer_all();
+        f.x.confirm();
+        CHECK(f.x.result_of(second) == reason::none);
+        REQUIRE(f.primary.log().size() == 2);
+        CHECK(f.primary.log()[0].statements[0] == "append k 1");
+    }
+    SECTION("the deadline passes") {
+        f.x.advance(900_ms);
+        CHECK(f.x.result_of(first) == reason::no_primary);
+        CHECK(f.x.replies.count(second) == 0);
+    }
+}
+
+TEST_CASE("refused and rejected statements are reported as not run") {
+    one_daemon f;
+    const auto rejected = f.x.write("nonsense");
+    f.x.answer_all();
+    CHECK(f.x.result_of(rejected) == reason::statement_error);
+    REQUIRE(f.primary.control(fence_request{2, "z"}, {}).accepted);
+    const auto refused = f.x.write();
+    f.x.answer_all();
+    CHECK(f.x.result_of(refused) == reason::endpoint_refused);
+    CHECK_FALSE(f.x.is_unknown(refused));
+}
+
+TEST_CASE("calls without table, service or owner are refused with the reason") {
+    one_daemon f;
+    CHECK(f.x.result_of(f.x.call({.service = service_id{"none"}, .read = true})) ==
+          reason::unknown_service);
+    CHECK(f.x.result_of(f.x.call({.endpoint = endpoint_id{"c"}, .read = true})) ==
+          reason::not_owner);
+    f.x.context.config = nullptr;
+    CHECK(f.x.result_of(f.x.read()) == reason::no_table);
+}
+
+// Guards against work that starts on an endpoint which is about to stop.
+TEST_CASE("a leaving endpoint takes no reads, and no writes after 3 s") {
+    one_daemon f;
+    const auto ref = f.x.begin();
+    f.x.set_fleet({"x"}, member_state::leaving);
+    CHECK(f.x.result_of(f.x.read()) == reason::endpoint_leaving);
+    const auto early = f.x.write();
+    f.x.answer_all();
+    f.x.confirm();
+    CHECK(f.x.result_of(early) == reason::none);
+    f.x.change_view({1, a}, true);
+    const auto held = f.x.write();
+    f.x.advance(3001_ms);
+    CHECK(f.x.result_of(held) == reason::endpoint_leaving);
+    CHECK(f.x.result_of(f.x.write()) == reason::endpoint_leaving);
+    const auto commit = f.x.in(ref, request_kind::commit);
+    f.x.answer_all();
+    f.x.confirm();
+    CHECK(f.x.result_of(commit) == reason::none);
+}
+
+// ---- Connections
+// ---------------------------------------------------------------------------------
+
+// Guards against slots and connections beyond the table's row.
+TEST_CASE("slots and the service's connection share bound what runs") {
+    one_daemon f;
+    f.x.set_table([](table& rows) {
+        rows.endpoints[a].slots = 3;
+        rows.services[entries].max_connections = 2;
+    });
+    f.x.read();
+    const auto second = f.x.read();
+    CHECK(f.x.running.size() == 1);
+    for (int i = 0; i < 4; ++i) {
+        f.x.call({.service = fees, .text = "get k", .read = true});
+    }
+    CHECK(f.x.running.size() == 3);
+    CHECK(f.primary.most_connections() <= 4);
+    f.x.answer();
+    CHECK(f.x.running.size() == 3);
+    f.x.answer_all();
+    CHECK(f.x.result_of(second) == reason::none);
+}
+
+TEST_CASE("a silent connection is closed and its caller is told so") {
+    one_daemon f;
+    const auto read = f.x.read();
+    const auto write = f.x.write();
+    f.x.advance(2_s);
+    CHECK(f.x.result_of(read) == reason::connection_silent);
+    CHECK(f.x.replies.count(write) == 0);
+    f.x.advance(3_s);
+    CHECK(f.x.result_of(write) == reason::connection_silent);
+    CHECK(f.x.is_unknown(write));
+    CHECK(f.x.groups.errors.size() == 2);
+    CHECK(f.x.groups.errors.front() == endpoint_error::timeout);
+}
+
+/// A call times out, another one follows, and the first answer arrives late.
+test_daemon& deliver_late_answer(one_daemon& f, std::uint64_t& second) {
+    f.x.set_table([](table& rows) { rows.endpoints[a].max_connections = 1; });
+    f.x.read("get first");
+    f.x.advance(2_s);
+    second = f.x.read("get second");
+    f.x.answer();
+    return f.x;
+}
+
+TEST_CASE("a late answer never reaches another caller") {
+    one_daemon f;
+    std::uint64_t second = 0;
+    test_daemon& x = deliver_late_answer(f, second);
+    CHECK(x.replies.count(second) == 0);
+    x.answer_all();
+    CHECK(x.result_of(second) == reason::none);
+    CHECK(x.checks.broken_total() == 0);
+}
+
+TEST_CASE("without connection discard a caller would get another caller's answer") {
+    one_daemon f{false};
+    f.x.context.enabled.connection_discard = false;
+    std::uint64_t second = 0;
+    test_daemon& x = deliver_late_answer(f, second);
+    CHECK(x.checks.broken(promise::answer_integrity) == 1);
+}
+
+TEST_CASE("a wrong sequence number closes the connection") {
+    one_daemon f;
+    const auto number = f.x.read();
+    f.x.running.front().sequence += 1;
+    f.x.answer();
+    CHECK(f.x.result_of(number) == reason::answer_mismatch);
+    CHECK(f.x.is_unknown(number));
+}
+
+TEST_CASE("a lost connection leaves the outcome unknown and is replaced") {
+    one_daemon f;
+    const auto number = f.x.write();
+    f.x.lose(f.x.running.front().connection);
+    CHECK(f.x.result_of(number) == reason::connection_lost);
+    CHECK(f.x.is_unknown(number));
+    CHECK(f.x.groups.errors == std::vector{endpoint_error::reset});
+    CHECK(f.x.status().connections >= 1);
+}
+
+// ---- Transactions
+// --------------------------------------------------------------------------------
+
+TEST_CASE("a transaction keeps its connection until its commit is confirmed") {
+    one_daemon f;
+    const auto ref = f.x.begin();
+    CHECK(ref == transaction_ref{host_id{"x"}, 7, 1});
+    const auto execute = f.x.in(ref, request_kind::execute, "set k t");
+    CHECK(f.x.result_of(f.x.in(ref, request_kind::execute, "set k u")) == reason::overloaded);
+    const auto other = f.x.write("set o 1");
+    CHECK(f.x.running[0].connection != f.x.running[1].connection);
+    f.x.answer_all();
+    f.x.confirm();
+    CHECK(f.x.result_of(execute) == reason::none);
+    CHECK(f.x.result_of(other) == reason::none);
+    const auto commit = f.x.in(ref, request_kind::commit);
+    f.x.answer_all();
+    CHECK(f.x.replies.count(commit) == 0);
+    f.x.confirm();
+    CHECK(f.x.result_of(commit) == reason::none);
+    CHECK(f.primary.log().back().statements == std::vector<std::string>{"set k t"});
+    CHECK(f.x.result_of(f.x.in(ref, request_kind::commit)) == reason::transaction_unknown);
+}
+
+// Guards against a deadlock when transactions hold every connection.
+TEST_CASE("transactions go on while others wait for a connection") {
+    one_daemon f;
+    f.x.set_table([](table& rows) { rows.endpoints[a].max_connections = 1; });
+    const auto ref = f.x.begin();
+    const auto waits = f.x.read();
+    const auto commit = f.x.in(ref, request_kind::commit);
+    f.x.answer_all();
+    f.x.confirm();
+    CHECK(f.x.result_of(commit) == reason::none);
+    CHECK(f.x.result_of(waits) == reason::none);
+}
+
+TEST_CASE("a handle of another incarnation or service is unknown") {
+    one_daemon f;
+    const auto ref = f.x.begin();
+    CHECK(f.x.result_of(f.x.in({ref.owner, 8, ref.number}, request_kind::commit)) ==
+          reason::transaction_unknown);
+    const auto foreign =
+        f.x.call({.kind = request_kind::commit, .service = fees, .transaction = ref});
+    CHECK(f.x.result_of(foreign) == reason::transaction_unknown);
+}
+
+TEST_CASE("a lost connection ends its transaction") {
+    one_daemon f;
+    const auto ref = f.x.begin();
+    const connection_id bound =
+        std::get<run_statement>(
+            *std::find_if(
+                f.x.seen.begin(), f.x.seen.end(),
+                [](const action& item) { return std::holds_alternative<run_statement>(item); }))
+            .connection;
+    SECTION("between statements") {
+        f.x.lose(bound);
+    }
+    SECTION("with the commit sent") {
+        const auto commit = f.x.in(ref, request_kind::commit);
+        f.x.lose(bound);
+        CHECK(f.x.result_of(commit) == reason::connection_lost);
+        CHECK(f.x.is_unknown(commit));
+    }
+    SECTION("after 30 s without a statement") {
+        f.x.advance(29_s);
+        CHECK(f.primary.is_open(bound + 1'000'000 * 'x'));
+        f.x.advance(1_s);
+        CHECK_FALSE(f.primary.is_open(bound + 1'000'000 * 'x'));
+    }
+    SECTION("when another term begins") {
+        f.x.change_view({2, a}, false);
+    }
+    CHECK(f.x.result_of(f.x.in(ref, request_kind::execute, "set k 1")) == reason::transaction_lost);
+    f.x.advance(60_s);
+    CHECK(f.x.result_of(f.x.in(ref, request_kind::execute, "set k 1")) ==
+          reason::transaction_unknown);
+}
+
+TEST_CASE("a refused commit means that the transaction is lost") {
+    one_daemon f;
+    const auto ref = f.x.begin();
+    REQUIRE(f.primary.control(fence_request{2, "z"}, {}).accepted);
+    const auto commit = f.x.in(ref, request_kind::commit);
+    f.x.answer_all();
+    CHECK(f.x.result_of(commit) == reason::transaction_lost);
+    CHECK_FALSE(f.x.is_unknown(commit));
+}
+
+// ---- Random histories
+// ----------------------------------------------------------------------------
+
+namespace {
+
+/// Random calls and faults at one daemon; remembers what each write was told.
+class history {
+public:
+    explicit history(std::uint64_t seed) : m_random{seed} {}
+
+    void run(int steps) {
+        for (int i = 0; i < steps; ++i) {
+            step();
+        }
+        f.x.confirmations.majority = true;
+        f.x.change_view({1, a}, false);
+        for (int i = 0; i < 20; ++i) {
+            f.x.answer_all();
+            f.x.confirm();
+            f.x.advance(5_s);
+        }
+    }
+    void check() {
+        std::map<std::string, int> applied;
+        for (const support::log_record& record : f.primary.log()) {
+            for (const std::string& statement : record.statements) {
+                ++applied[statement];
+            }
+        }
+        for (const auto& [number, text] : m_writes) {
+            REQUIRE(f.x.replies.count(number) == 1);
+            const bool is_done = f.x.result_of(number) == reason::none;
+            const int least = is_done ? 1 : 0;
+            const int most = is_done || f.x.is_unknown(number) ? 1 : 0;
+            CHECK(applied[text] >= least);
+            CHECK(applied[text] <= most);
+        }
+        CHECK(f.primary.most_connections() <= 4);
+        CHECK(f.x.checks.broken_total() == 0);
+    }
+
+private:
+    std::uint64_t pick(std::uint64_t bound) { return m_random() % bound; }
+
+    void step() {
+        switch (pick(12)) {
+            case 0:
+            case 1:
+            case 2:
+                return write();
+            case 3:
+                f.x.call({.text = "get k", .read = true, .confirm = pick(2) == 0});
+                return;
+            case 4:
+                return use_transaction();
+            case 5:
+            case 6:
+            case 7:
+                return f.x.running.empty() ? void() : f.x.answer(pick(f.x.running.size()));
+            case 8:
+                return f.x.confirm();
+            case 9:
+                return f.x.advance(duration::from_ms(static_cast<double>(pick(400))));
+            case 10:
+                return f.x.change_view({1, pick(4) == 0 ? endpoint_id{} : a}, pick(3) == 0);
+            default:
+                return fault();
+        }
+    }
+    void write() {
+        const std::string text = "set k" + std::to_string(++m_last) + " v";
+        const auto number = f.x.call({.service = pick(2) == 0 ? entries : fees,
+                                      .text = text,
+                                      .remaining = duration::from_ms(100.0 + double(pick(2000)))});
+        m_writes.emplace(number, text);
+    }
+    void use_transaction() {
+        if (m_open_text.empty()) {
+            const auto begin = f.x.call({.kind = request_kind::begin});
+            f.x.answer_all();
+            if (f.x.replies.count(begin) == 1 && f.x.result_of(begin) == reason::none) {
+                m_ref = f.x.replies.at(begin).transaction;
+                m_open_text = "set t" + std::to_string(++m_last) + " v";
+                f.x.in(m_ref, request_kind::execute, m_open_text.c_str());
+            }
+            return;
+        }
+        f.x.answer_all();
+        const auto commit = f.x.in(m_ref, request_kind::commit);
+        m_writes.emplace(commit, std::exchange(m_open_text, {}));
+    }
+    void fault() {
+        switch (pick(5)) {
+            case 0:
+                return f.x.running.empty() ? void() : f.x.lose(f.x.running.front().connection);
+            case 1:
+                f.primary.crash();
+                return f.x.notice_closed();
+            case 2: {
+                const epoch_number epoch = f.primary.state(f.x.now).epoch;
+                f.primary.control(claim_request{epoch, host_id{"y"}}, f.x.now);
+                return f.x.notice_closed();
+            }
+            case 3:
+                f.x.confirmations.majority = !f.x.confirmations.majority;
+                return;
+            default:
+                f.x.confirmations.confirm = !f.x.confirmations.confirm;
+                return;
+        }
+    }
+
+    one_daemon f;
+    std::mt19937_64 m_random;
+    std::uint64_t m_last = 0;
+    transaction_ref m_ref;
+    std::string m_open_text;
+    std::map<std::uint64_t, std::string> m_writes;
+};
+
+}  // namespace
+
+// Guards against a reply that contradicts the endpoint's log, and against lost or double replies.
+TEST_CASE("what callers are told agrees with what the endpoint ran") {
+    for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+        CAPTURE(seed);
+        history random{seed};
+        random.run(400);
+        random.check();
+    }
+}
