Add table edits, table synchronisation, membership and totals

Change: cells, CSV, JSON and deltas of the table; the compare-and-swap loop of an edit; relays, rumours and fetches of revisions; SWIM membership with held flapping hosts; paced absolute totals. Deltas name the edit before them, so that a daemon notices a store whose history is another one.

--- /dev/null
+++ b/include/jasminelead/membership.h
@@ -0,0 +1,145 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "jasminelead/context.h"
+#include "jasminelead/messages.h"
+
+/// Liveness of the daemons: SWIM pings over the hosts of the platform's list.
+namespace jasminelead {
+
+/// What this daemon knows of one host.
+struct member_status {
+    host_id host;
+    data_centre_id data_centre;
+    std::string address;
+    liveness state = liveness::alive;
+    member_state listed = member_state::live;
+    incarnation_number incarnation = 0;  ///< 0 when it was never heard of.
+    instant since;                       ///< Time of the last change of `state`.
+    bool in_fleet = false;
+};
+
+/// Updates to be sent with pings, the least sent first.
+class update_queue {
+public:
+    void push(const member_update& update, std::size_t hosts);
+    /// Up to `wanted` updates; each is dropped after it was sent often enough.
+    std::vector<member_update> take(std::size_t wanted);
+
+private:
+    struct item {
+        member_update update;
+        int sends_left = 0;
+    };
+    std::vector<item> m_items;
+};
+
+/// Replaces `core_context::fleet` when the live hosts or the endpoints change.
+class membership {
+public:
+    explicit membership(core_context& context);
+
+    /// The list only adds and removes hosts. A list without hosts is ignored.
+    void on_host_list(const host_list& list, instant now, action_list& out);
+    void on_ping(const host_id& from, const ping& message, instant now, action_list& out);
+    void on_ping_ack(const host_id& from, const ping_ack& message, instant now, action_list& out);
+    void on_ping_request(const host_id& from, const ping_request& message, instant now,
+                         action_list& out);
+    void on_ping_request_ack(const host_id& from, const ping_request_ack& message, instant now,
+                             action_list& out);
+    void on_peer_failed(const peer_failed& failure, instant now, action_list& out);
+    /// Any message of the host arrived.
+    void on_peer_heard(const host_id& from, instant now);
+    void tick(instant now, action_list& out);
+    [[nodiscard]] std::optional<instant> next_wakeup() const;
+
+    /// True once after each change of `core_context::fleet`.
+    bool take_changed();
+    [[nodiscard]] std::vector<member_status> status() const;
+    /// Tells peers that this host leaves; it is no longer part of its own fleet.
+    void leave(instant now, action_list& out);
+
+private:
+    struct member {
+        std::optional<host_entry> entry;  // Absent while only messages name the host.
+        liveness state = liveness::alive;
+        incarnation_number incarnation = 0;
+        instant since;
+        instant first_seen;
+        std::optional<instant> joined_at;  // When its present incarnation was first heard.
+        std::optional<instant> absent_since;
+        std::optional<instant> dies_at;  // Set by the daemon that found the suspect itself.
+        instant suspicion_ends;          // When a suspicion told by others lapses.
+        int deaths = 0;                  // Within the flapping window.
+        instant last_death;
+        instant held_until;  // A flapping host is not part of the fleet before.
+    };
+    struct probe {
+        std::uint64_t sequence = 0;
+        host_id target;
+        instant sent;
+        bool indirect = false;            // Other daemons were asked to ping the target.
+        std::optional<host_id> asked_by;  // Set when the ping is on behalf of another daemon.
+        std::uint64_t asked_sequence = 0;
+    };
+    struct listed_endpoint {
+        endpoint_entry entry;
+        std::optional<instant> absent_since;
+    };
+
+    // Evidence: membership.cc
+    member& known(const host_id& host, instant now);
+    void on_alive(const host_id& from, incarnation_number incarnation, instant now);
+    void on_update(const member_update& update, instant now);
+    void refute(const member_update& update);
+    void take_updates(const std::vector<member_update>& updates, instant now);
+    void set_state(const host_id& host, member& item, liveness state, instant now);
+    void suspect(const host_id& host, duration refutation, instant now, action_list& out);
+    void replace_at_address(const host_id& host, const member& item, instant now);
+
+    // Probes: membership_probe.cc
+    void probe_next(instant now, action_list& out);
+    void send_ping(const host_id& target, probe item, instant now, action_list& out);
+    std::vector<member_update> updates_for(const host_id& to, instant now);
+    void append_gone(std::vector<member_update>& updates);
+    void check_probes(instant now, action_list& out);
+    void ask_others(probe& item, action_list& out);
+    void probe_failed(const host_id& target, instant now, action_list& out);
+    void check_suspects(instant now);
+    void resume_after_pause(instant now);
+    std::vector<host_id> random_live(std::size_t wanted, const host_id& except);
+    [[nodiscard]] revision_number table_revision() const;
+
+    // Fleet: membership_fleet.cc
+    void merge_hosts(const std::vector<host_entry>& hosts, instant now);
+    void forget_absent(const std::vector<host_entry>& hosts, instant now);
+    void forget_replaced(const std::vector<host_entry>& hosts);
+    void merge_endpoints(const std::vector<endpoint_entry>& endpoints, instant now);
+    [[nodiscard]] bool is_in_fleet(const member& item, instant now) const;
+    void update_fleet(instant now);
+
+    core_context& m_context;
+    incarnation_number m_incarnation;  // Raised by refutations.
+    bool m_leaving = false;
+    bool m_changed = false;
+    std::map<host_id, member> m_members;  // Without this host.
+    std::optional<host_entry> m_self;
+    std::map<endpoint_id, listed_endpoint> m_endpoints;
+    std::set<host_id> m_timed;  // Suspects and held hosts.
+    update_queue m_updates;
+    std::vector<probe> m_probes;
+    std::vector<host_id> m_round;  // Hosts still to be pinged in this round.
+    host_id m_last_gone;           // Where append_gone goes on.
+    std::uint64_t m_sequence = 0;
+    instant m_next_ping;
+    instant m_last_tick;
+    std::vector<std::string> m_lines;  // Changes of state, logged at the next tick.
+};
+
+}  // namespace jasminelead
--- a/include/jasminelead/messages.h
+++ b/include/jasminelead/messages.h
@@ -58,7 +58,15 @@
 // ---- Calls from an entry to an owner ----------------------------------------------------------
 
 /// Which module of a daemon waits for an answer.
-enum class call_module : std::uint8_t { entry, owner, acknowledger, failover, membership, table };
+enum class call_module : std::uint8_t {
+    entry,
+    owner,
+    acknowledger,
+    failover,
+    membership,
+    table,
+    totals
+};
 
 struct call_id {
     call_module module = call_module::entry;
--- a/include/jasminelead/table.h
+++ b/include/jasminelead/table.h
@@ -3,6 +3,10 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
 
 #include "jasminelead/types.h"
 
@@ -45,4 +49,113 @@
 std::uint32_t service_connection_share(const service_row& service, std::size_t index,
                                        std::size_t endpoints);
 
+// ---- Edits ------------------------------------------------------------------------------------
+
+/// Values of a whole row in an edit.
+inline constexpr std::string_view row_exists = "exists";
+inline constexpr std::string_view row_absent = "absent";
+
+/// A change of one cell (`endpoint/shows-1-a.slots`) or of a whole row (`endpoint/shows-1-a`, whose
+/// values are `exists` and `absent`). The cells of an absent row are empty.
+struct cell_edit {
+    std::string cell;
+    std::string expected;  ///< The value that the operator saw before the whole edit.
+    std::string value;
+    bool operator==(const cell_edit&) const = default;
+};
+
+/// One accepted edit: the step from `revision - 1` to `revision`.
+struct table_delta {
+    revision_number revision = 0;
+    std::string edit_id;
+    std::string operator_name;
+    std::int64_t wall_time_ms = 0;
+    std::vector<cell_edit> edits;
+    std::string previous_id = {};  ///< Edit id of `revision - 1`; empty when it is not known.
+    bool operator==(const table_delta&) const = default;
+};
+
+struct cell_error {
+    std::string cell;
+    std::string text;
+};
+struct cell_conflict {
+    std::string cell;
+    std::string expected;
+    std::string present;
+};
+
+/// The cell's text; nothing when no cell or row can have this name.
+std::optional<std::string> cell_value(const table& rows, std::string_view cell);
+
+/// All cells that are out of range or contradict other rows.
+std::vector<cell_error> validate(const table& rows);
+
+/// `result` is set when there are neither conflicts nor errors.
+struct apply_result {
+    std::optional<table> result;
+    std::vector<cell_conflict> conflicts;
+    std::vector<cell_error> errors;
+};
+/// Checks the expected values of all cells against `rows`, then applies the edits in their order.
+/// Errors are those of the single cells; `validate` finds those between rows.
+apply_result apply(const table& rows, const table_delta& delta);
+
+/// The edits that turn `from` into `to`.
+std::vector<cell_edit> difference(const table& from, const table& to);
+
+// ---- Stored and sent forms ----------------------------------------------------------------------
+
+inline constexpr std::string_view head_key = "table/head";
+inline constexpr std::size_t max_head_deltas = 64;
+
+/// The value of `table/head`. An empty snapshot name stands for the empty table at revision 0.
+struct table_head {
+    revision_number revision = 0;
+    std::string snapshot;
+    std::vector<table_delta> deltas;  ///< Those after the snapshot, without gaps.
+    bool operator==(const table_head&) const = default;
+};
+/// The value of `table/snapshot/N`.
+struct table_snapshot {
+    table rows;
+    std::vector<std::string> edit_ids;  ///< Of the last deltas folded in, oldest first.
+    bool operator==(const table_snapshot&) const = default;
+};
+
+std::string snapshot_key(revision_number revision);
+/// The revision of a snapshot name; 0 for the empty name, nothing for another key.
+std::optional<revision_number> snapshot_revision(std::string_view key);
+
+std::string write_json(const table_delta& delta);
+std::string write_json(const table_head& head);
+std::string write_json(const table_snapshot& snapshot);
+// The parsers return nothing when a member is missing, mistyped or contradicts another.
+std::optional<table_delta> parse_delta(std::string_view text);
+std::optional<table_head> parse_head(std::string_view text);
+std::optional<table_snapshot> parse_snapshot(std::string_view text);
+
+// ---- Text
+// -----------------------------------------------------------------------------------------
+
+using text_row = std::vector<std::string>;
+
+/// Fields of RFC 4180 text, one row a line; nothing when a quote is misplaced.
+std::optional<std::vector<text_row>> parse_csv(std::string_view text);
+std::string write_csv(std::span<const text_row> rows);
+
+/// The header and the rows: groups, endpoints and services, each in order of names.
+std::vector<text_row> text_rows(const table& rows);
+struct table_text {
+    std::optional<table> rows;  ///< Revision 0.
+    std::vector<cell_error> errors;
+};
+/// Reads rows written by `text_rows`. Errors of form only; `validate` finds the others.
+table_text parse_rows(std::span<const text_row> lines);
+table_text parse_table_csv(std::string_view text);
+std::string write_table_csv(const table& rows);
+
+/// Columns padded with spaces to a common width.
+std::string aligned_text(std::span<const text_row> rows);
+
 }  // namespace jasminelead
--- /dev/null
+++ b/src/table_edit.cc
@@ -0,0 +1,229 @@
+#include "jasminelead/table_edit.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace jasminelead {
+namespace {
+
+/// Conflicts and lost answers that one edit survives. More mean a store that cannot be used.
+constexpr int max_attempts = 20;
+/// A value in the store may have 1 MB; the rest is for the deltas and the escaping of the head.
+constexpr std::size_t max_delta_bytes = 262'144;
+constexpr std::size_t max_head_bytes = 655'360;
+
+edit_step failed(std::string why, bool may_be_applied) {
+    return edit_outcome{edit_failed{std::move(why), may_be_applied}};
+}
+
+std::string last_edit_id(const table_head& head, const table_snapshot& base) {
+    if (!head.deltas.empty()) {
+        return head.deltas.back().edit_id;
+    }
+    return base.edit_ids.empty() ? std::string{} : base.edit_ids.back();
+}
+
+/// Edit ids of the last deltas folded into the snapshot of the head's revision.
+std::vector<std::string> folded_ids(const table_head& head, const table_snapshot& base) {
+    std::vector<std::string> ids = base.edit_ids;
+    for (const table_delta& delta : head.deltas) {
+        ids.push_back(delta.edit_id);
+    }
+    if (ids.size() > max_head_deltas) {
+        ids.erase(ids.begin(), ids.end() - max_head_deltas);
+    }
+    return ids;
+}
+
+}  // namespace
+
+std::optional<table> rows_at(const table_head& head, const table& base) {
+    table rows = base;
+    for (const table_delta& delta : head.deltas) {
+        apply_result applied = apply(rows, delta);
+        if (!applied.result) {
+            return std::nullopt;
+        }
+        rows = std::move(*applied.result);
+    }
+    return rows;
+}
+
+edit_step table_edit::start() {
+    return read_head();
+}
+
+edit_step table_edit::on_result(const store_result& result) {
+    if (result.status == store_status::unavailable) {
+        return on_unavailable();
+    }
+    switch (m_phase) {
+        case phase::reading_head:
+            return on_head(result);
+        case phase::reading_snapshot:
+            return on_snapshot(result);
+        case phase::writing_snapshot:
+            return on_snapshot_written(result);
+        default:
+            return on_swapped(result);
+    }
+}
+
+edit_step table_edit::read_head() {
+    m_phase = phase::reading_head;
+    return store_request{store_get{std::string{head_key}}};
+}
+
+edit_step table_edit::on_unavailable() {
+    if (m_phase == phase::swapping_head && m_unanswered == 0) {
+        m_unanswered = m_next.revision;
+    }
+    if (++m_attempts >= max_attempts) {
+        return failed("the store does not answer", m_unanswered != 0);
+    }
+    // The head is read again in every case: it shows whether a lost swap took effect.
+    return read_head();
+}
+
+edit_step table_edit::on_head(const store_result& result) {
+    if (result.status == store_status::missing) {
+        m_head = {};
+        m_head_version = 0;
+        m_base = {};
+        return propose();
+    }
+    return use_head(result);
+}
+
+edit_step table_edit::use_head(const store_result& result) {
+    auto head = parse_head(result.value);
+    if (!head) {
+        return failed("the value of table/head cannot be understood", m_unanswered != 0);
+    }
+    const bool same_base = m_base.rows.revision == snapshot_revision(head->snapshot);
+    m_head = std::move(*head);
+    m_head_version = result.version;
+    if (same_base) {
+        return propose();
+    }
+    if (m_head.snapshot.empty()) {
+        m_base = {};
+        return propose();
+    }
+    m_phase = phase::reading_snapshot;
+    return store_request{store_get{m_head.snapshot}};
+}
+
+edit_step table_edit::on_snapshot(const store_result& result) {
+    auto snapshot = parse_snapshot(result.value);
+    const bool usable = result.status == store_status::ok && snapshot &&
+                        snapshot->rows.revision == snapshot_revision(m_head.snapshot);
+    if (!usable) {
+        return failed("the value of " + m_head.snapshot + " cannot be understood",
+                      m_unanswered != 0);
+    }
+    m_base = std::move(*snapshot);
+    return propose();
+}
+
+std::optional<revision_number> table_edit::find_own_edit() const {
+    const auto delta =
+        std::find_if(m_head.deltas.begin(), m_head.deltas.end(),
+                     [this](const auto& item) { return item.edit_id == m_request.edit_id; });
+    if (delta != m_head.deltas.end()) {
+        return delta->revision;
+    }
+    const auto& ids = m_base.edit_ids;
+    const auto id = std::find(ids.begin(), ids.end(), m_request.edit_id);
+    if (id != ids.end()) {
+        return m_base.rows.revision - static_cast<revision_number>(ids.end() - id) + 1;
+    }
+    return std::nullopt;
+}
+
+/// True when so many edits followed a swap without an answer that its id is no longer kept.
+bool table_edit::own_edit_out_of_sight() const {
+    return m_unanswered != 0 && m_unanswered + m_base.edit_ids.size() <= m_base.rows.revision;
+}
+
+edit_step table_edit::propose() {
+    if (const auto revision = find_own_edit()) {
+        return edit_outcome{edit_applied{*revision, true}};
+    }
+    if (own_edit_out_of_sight()) {
+        return failed("too many edits followed to tell whether this one was applied", true);
+    }
+    auto present = rows_at(m_head, m_base.rows);
+    if (!present) {
+        return failed("the deltas in table/head do not apply to their snapshot", false);
+    }
+    m_present = std::move(*present);
+    table_delta delta{m_head.revision + 1,    m_request.edit_id, m_request.operator_name,
+                      m_request.wall_time_ms, m_request.edits,   last_edit_id(m_head, m_base)};
+    apply_result applied = apply(m_present, delta);
+    if (!applied.conflicts.empty()) {
+        return edit_outcome{edit_conflicted{std::move(applied.conflicts)}};
+    }
+    if (!applied.result) {
+        return edit_outcome{edit_invalid{std::move(applied.errors)}};
+    }
+    if (auto errors = validate(*applied.result); !errors.empty()) {
+        return edit_outcome{edit_invalid{std::move(errors)}};
+    }
+    // All cells of a new row are written out, so that a later version with other defaults reads
+    // the same table.
+    delta.edits = difference(m_present, *applied.result);
+    if (delta.edits.empty()) {
+        return edit_outcome{edit_applied{m_head.revision, false}};
+    }
+    if (write_json(delta).size() > max_delta_bytes) {
+        return edit_outcome{edit_invalid{
+            {{"edit", "is larger than " + std::to_string(max_delta_bytes) + " bytes; split it"}}}};
+    }
+    m_next = m_head;
+    m_next.revision = delta.revision;
+    m_next.deltas.push_back(std::move(delta));
+    return swap_head();
+}
+
+edit_step table_edit::swap_head() {
+    const bool full = m_next.deltas.size() > max_head_deltas;
+    std::string value = write_json(m_next);
+    if (full || (value.size() > max_head_bytes && m_next.deltas.size() > 1)) {
+        m_next.snapshot = snapshot_key(m_head.revision);
+        m_next.deltas.erase(m_next.deltas.begin(), m_next.deltas.end() - 1);
+        m_phase = phase::writing_snapshot;
+        const table_snapshot snapshot{m_present, folded_ids(m_head, m_base)};
+        return store_request{store_cas{m_next.snapshot, write_json(snapshot), 0}};
+    }
+    m_phase = phase::swapping_head;
+    return store_request{store_cas{std::string{head_key}, std::move(value), m_head_version}};
+}
+
+edit_step table_edit::on_snapshot_written(const store_result& result) {
+    if (result.status == store_status::missing) {
+        return failed("the store refused the snapshot", m_unanswered != 0);
+    }
+    if (result.status == store_status::conflict) {
+        // Another edit from the same head wrote it already. A snapshot of another content would
+        // come from a store that was set back, and all daemons would take a wrong table from it.
+        const auto existing = parse_snapshot(result.value);
+        if (!existing || existing->rows != m_present) {
+            return failed(m_next.snapshot + " holds another table", m_unanswered != 0);
+        }
+    }
+    m_phase = phase::swapping_head;
+    return store_request{store_cas{std::string{head_key}, write_json(m_next), m_head_version}};
+}
+
+edit_step table_edit::on_swapped(const store_result& result) {
+    if (result.status == store_status::ok) {
+        return edit_outcome{edit_applied{m_next.revision, true}};
+    }
+    if (++m_attempts >= max_attempts) {
+        return failed("other edits were faster", m_unanswered != 0);
+    }
+    return read_head();
+}
+
+}  // namespace jasminelead
--- /dev/null
+++ b/test/table_sync_test.cc
@@ -0,0 +1,205 @@
+#include "jasminelead/table_sync.h"
+
+#include <catch2/catch.hpp>
+
+#include "control_simulation.h"
+
+using namespace jasminelead;
+using namespace jasminelead::test;
+using namespace jasminelead::literals;
+
+namespace {
+
+constexpr const char* weight = "endpoint/shows-1-a.read_weight";
+
+std::vector<cell_edit> weight_edit(int from, int to) {
+    return {{weight, std::to_string(from), std::to_string(to)}};
+}
+
+std::string weight_of(const node& n) {
+    return cell_value(*n.context.config, weight).value_or("");
+}
+
+/// A fleet whose daemons all have revision 1.
+std::unique_ptr<simulation> started(std::size_t hosts, std::size_t data_centres = 3) {
+    auto fleet = std::make_unique<simulation>(hosts, data_centres);
+    fleet->edit("first", first_rows());
+    REQUIRE(fleet->run(20_s, [&] { return fleet->all_at(1); }));
+    fleet->run(5_s);
+    return fleet;
+}
+
+duration time_until_everywhere(simulation& fleet) {
+    const instant before = fleet.now;
+    fleet.edit("measured", weight_edit(100, 50));
+    REQUIRE(fleet.run(60_s, [&] { return fleet.all_at(2); }));
+    return fleet.now - before;
+}
+
+std::size_t relay_count(const simulation& fleet) {
+    return static_cast<std::size_t>(std::count_if(
+        fleet.nodes.begin(), fleet.nodes.end(), [](const auto& n) { return n->sync->is_relay(); }));
+}
+
+}  // namespace
+
+// Guards against edits that reach daemons late: the targets are seconds and 15 s.
+TEST_CASE("a revision is in force on 6 daemons within seconds") {
+    auto fleet = started(6);
+    const duration taken = time_until_everywhere(*fleet);
+    WARN("6 daemons: " << taken.ms() << " ms");
+    CHECK(taken < 5_s);
+}
+
+TEST_CASE("a revision is in force on 480 daemons within 15 s, with 12 watches") {
+    auto fleet = started(480, 6);
+    CHECK(relay_count(*fleet) == 12);
+    const duration taken = time_until_everywhere(*fleet);
+    WARN("480 daemons: " << taken.ms() << " ms");
+    CHECK(taken < 15_s);
+    fleet->store.calls = 0;
+    fleet->run(60_s);
+    WARN("store calls of 12 relays in 60 s: " << fleet->store.calls);
+    CHECK(fleet->store.calls <= 40);
+}
+
+// Guards against a daemon that follows a store which was set back to an old backup.
+TEST_CASE("a store that goes back to a lower revision is refused") {
+    auto fleet = started(6);
+    const auto backup = fleet->store.items;
+    fleet->edit("second", weight_edit(100, 50));
+    REQUIRE(fleet->run(10_s, [&] { return fleet->all_at(2); }));
+    fleet->store.up = false;
+    fleet->answer_watches();
+    fleet->run(60_s);
+    fleet->store.up = true;
+    fleet->store.items = backup;
+    fleet->run(60_s);
+    int refused = 0;
+    for (const auto& n : fleet->nodes) {
+        CHECK(weight_of(*n) == "50");
+        refused += n->counted["revision_refused"];
+    }
+    CHECK(refused > 0);
+}
+
+// Shows that the check of the revision is what keeps an accepted edit in force.
+TEST_CASE("without the revision check a store that goes back reverts the table") {
+    table first;
+    first.revision = 1;
+    core_context context;
+    invariants checks;
+    context.checks = &checks;
+    context.enabled.revision_check = GENERATE(true, false);
+    table second = first;
+    second.revision = 2;
+    context.config = std::make_shared<const table>(second);
+    table_sync sync{context};
+    action_list out;
+    const std::string lower = write_json(table_snapshot{first, {}});
+    sync.on_reply(host_id{"peer"}, {1, lower, {}}, {}, out);
+    CHECK(sync.revision() == (context.enabled.revision_check ? 2 : 1));
+    CHECK(checks.broken(promise::config_monotonic) == (context.enabled.revision_check ? 0 : 1));
+}
+
+// Guards against a daemon that serves without limits, or never, when it starts during an outage.
+TEST_CASE("a daemon that starts while the store is down takes the table of its peers") {
+    auto fleet = started(6);
+    fleet->edit("second", weight_edit(100, 50));
+    REQUIRE(fleet->run(10_s, [&] { return fleet->all_at(2); }));
+    fleet->store.up = false;
+    fleet->answer_watches();
+    fleet->restart(3);
+    CHECK_FALSE(fleet->nodes[3]->sync->synchronized());
+    REQUIRE(fleet->run(5_s, [&] { return fleet->nodes[3]->sync->synchronized(); }));
+    CHECK(weight_of(*fleet->nodes[3]) == "50");
+}
+
+TEST_CASE("daemons that start before the store and a table get the first one") {
+    simulation fleet{6};
+    fleet.store.up = false;
+    fleet.run(60_s);
+    CHECK(fleet.nodes[0]->sync->revision() == 0);
+    CHECK_FALSE(fleet.nodes[0]->sync->synchronized());
+    CHECK(fleet.store.calls < 6 * 20);
+    fleet.store.up = true;
+    fleet.edit("first", first_rows());
+    CHECK(fleet.run(40_s, [&] { return fleet.all_at(1); }));
+}
+
+// Guards against two tables in force after the network was divided.
+TEST_CASE("a data centre that was cut off takes the revisions that it missed") {
+    auto fleet = started(6);
+    const auto is_cut_off = [](std::size_t i) { return i % 3 == 0; };
+    fleet->cut = [&](std::size_t a, std::size_t b) { return is_cut_off(a) != is_cut_off(b); };
+    fleet->store_cut = is_cut_off;
+    for (int i = 0; i < 80; ++i) {
+        fleet->edit("e" + std::to_string(i), weight_edit(100 + i, 101 + i));
+        fleet->run(1_s);
+    }
+    CHECK(fleet->nodes[0]->sync->revision() == 1);
+    CHECK(fleet->nodes[1]->sync->revision() == 81);
+    fleet->cut = [](std::size_t, std::size_t) { return false; };
+    REQUIRE(fleet->run(15_s, [&] { return fleet->all_at(81); }));
+    CHECK(weight_of(*fleet->nodes[0]) == "180");
+    CHECK(*fleet->nodes[0]->context.config == *fleet->nodes[1]->context.config);
+}
+
+// Guards against a peer that is too far behind for the deltas that are kept.
+TEST_CASE("a peer behind more than 256 deltas gets a snapshot") {
+    auto fleet = started(2, 1);
+    for (int i = 0; i < 300; ++i) {
+        fleet->edit("e" + std::to_string(i), weight_edit(100 + i, 101 + i));
+    }
+    REQUIRE(fleet->run(10_s, [&] { return fleet->all_at(301); }));
+    for (int i = 0; i < 300; ++i) {
+        fleet->edit("f" + std::to_string(i), weight_edit(400 + i, 401 + i));
+        fleet->run(100_ms);
+    }
+    action_list out;
+    fleet->nodes[0]->sync->on_request(host_id{"x"}, {300}, fleet->now, out);
+    fleet->nodes[0]->sync->on_request(host_id{"x"}, {500}, fleet->now, out);
+    const auto reply = [&](std::size_t i) {
+        return std::get<deltas_reply>(std::get<send_peer>(out[i]).message);
+    };
+    CHECK(reply(0).snapshot);
+    CHECK_FALSE(reply(1).snapshot);
+    CHECK(reply(1).deltas.size() == 101);
+}
+
+// Guards against a table that a tool of another version, or a fault, wrote into the store.
+TEST_CASE("a table that does not validate is refused, and a later one that does is taken") {
+    auto fleet = started(6);
+    auto head = parse_head(fleet->store.items["table/head"].value).value();
+    head.deltas.push_back({2, "bad", "bob", 1, {{"group/shows-1", "exists", "absent"}}});
+    head.revision = 2;
+    fleet->store.perform(store_put{"table/head", write_json(head)});
+    fleet->answer_watches();
+    fleet->run(10_s);
+    int refused = 0;
+    for (const auto& n : fleet->nodes) {
+        CHECK(n->sync->revision() == 1);
+        refused += n->counted["table_invalid"];
+    }
+    CHECK(refused > 0);
+    fleet->edit("repair", {{"group/shows-1", "absent", "exists"}});
+    CHECK(fleet->run(10_s, [&] { return fleet->all_at(3); }));
+}
+
+// Guards against a mix of two histories after a store was set back and edited on.
+TEST_CASE("a daemon takes the whole table from a store whose history is another one") {
+    auto fleet = started(6);
+    const auto backup = fleet->store.items;
+    fleet->edit("second", weight_edit(100, 50));
+    REQUIRE(fleet->run(10_s, [&] { return fleet->all_at(2); }));
+    fleet->store.items["table/head"].value = backup.at("table/head").value;
+    fleet->edit("other-2", {{"endpoint/shows-1-a.slots", "3", "4"}});
+    fleet->run(5_s);
+    fleet->edit("other-3", {{"endpoint/shows-1-a.slots", "4", "5"}});
+    REQUIRE(fleet->run(10_s, [&] { return fleet->all_at(3); }));
+    const table expected = *fleet->nodes[0]->context.config;
+    CHECK(cell_value(expected, "endpoint/shows-1-a.slots") == "5");
+    for (const auto& n : fleet->nodes) {
+        CHECK(*n->context.config == expected);
+    }
+}
