Add the daemon's adapters around the kernel

The daemon needs I/O around the core's events and actions: callers over HTTP, peer links, endpoint connections, the store, settings, logs, metrics and a planned shutdown.

Workers are threads with a fiber scheduler that blocks in the thread's io_context. Idle connections hold no fiber and no buffer.

--- /dev/null
+++ b/daemon/caller_json.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+
+#include "jasminelead/messages.h"
+
+/// JSON forms of caller requests and replies (docs/protocol.md).
+namespace jasminelead::daemon {
+
+inline constexpr std::size_t most_body_bytes = std::size_t{64} * 1024;
+inline constexpr std::size_t most_json_depth = 16;
+inline constexpr std::size_t longest_name_bytes = 64;
+
+struct request_fault {
+    reason why = reason::bad_request;
+    std::string detail;
+};
+
+struct parsed_request {
+    caller_request request;  ///< Its `id` is not set.
+    std::string caller_id;   ///< JSON text of the caller's own `id`; empty when absent.
+};
+
+/// The kind of request that a path stands for, for example "/v1/begin".
+std::optional<request_kind> kind_of_path(std::string_view path);
+std::variant<parsed_request, request_fault> parse_caller_request(request_kind kind,
+                                                                 std::string_view body);
+std::variant<switchover_requested, request_fault> parse_switchover(std::string_view body);
+
+struct rendered_reply {
+    int status = 200;  ///< HTTP status.
+    std::string body;
+};
+rendered_reply render_reply(const caller_reply& reply, std::string_view caller_id);
+/// The reply to a request that never reached the core.
+rendered_reply render_fault(const request_fault& fault, std::string_view caller_id);
+
+}  // namespace jasminelead::daemon
--- /dev/null
+++ b/daemon/caller_worker.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <unordered_set>
+
+#include "caller_connection.h"
+#include "event_sink.h"
+#include "metrics.h"
+#include "operator_routes.h"
+#include "worker.h"
+
+namespace jasminelead::daemon {
+
+/// What all callers of a daemon share.
+struct caller_shared {
+    event_sink events;
+    metrics& counters;
+    operator_routes& routes;
+    /// Hands an upgraded connection over to the peer links; takes ownership of the descriptor.
+    std::function<void(host_id from, int descriptor, bool is_v6, std::string received)> adopt_peer;
+    std::chrono::milliseconds slow_sender_timeout{10'000};
+    std::atomic<std::size_t> connections = 0;
+    std::atomic<std::size_t> unanswered = 0;  ///< Requests whose response was not written yet.
+    std::atomic<bool> draining = false;
+};
+
+/// The callers that are served by one worker. All functions but `index_of` run on its thread.
+class caller_worker {
+public:
+    caller_worker(worker& home, caller_shared& shared, unsigned index);
+
+    /// The worker that a request came from.
+    static unsigned index_of(request_id id);
+
+    void add(tcp::socket socket, bool over_limit);
+    void deliver(const caller_reply& reply);
+    /// Closes all connections, so that the worker's fibers end.
+    void stop();
+
+    // For the connections:
+    [[nodiscard]] worker& home() { return m_home; }
+    [[nodiscard]] caller_shared& shared() { return m_shared; }
+    void submit(const std::shared_ptr<caller_connection>& from, std::uint64_t place,
+                parsed_request request);
+    void remove(const std::shared_ptr<caller_connection>& connection);
+
+private:
+    struct waiting {
+        std::weak_ptr<caller_connection> connection;
+        std::uint64_t place = 0;
+        std::string caller_id;
+    };
+
+    worker& m_home;
+    caller_shared& m_shared;
+    request_id m_next_id;
+    std::unordered_map<request_id, waiting> m_waiting;
+    std::unordered_set<std::shared_ptr<caller_connection>> m_connections;
+    bool m_stopped = false;
+};
+
+}  // namespace jasminelead::daemon
--- /dev/null
+++ b/daemon/core_gate.cc
@@ -0,0 +1,49 @@
+#include "core_gate.h"
+
+#include <utility>
+
+#include "clock.h"
+
+namespace jasminelead::daemon {
+
+core_gate::core_gate(std::unique_ptr<core_kernel> kernel, action_sink actions, wakeup_sink wakeups)
+    : m_kernel{std::move(kernel)},
+      m_actions{std::move(actions)},
+      m_wakeups{std::move(wakeups)},
+      m_ready{m_kernel->ready()} {}
+
+void core_gate::submit(event input) {
+    submit(std::span{&input, 1});
+}
+
+void core_gate::submit(std::span<event> inputs) {
+    action_list actions;
+    std::unique_lock kernel_lock{m_kernel_lock};
+    for (event& input : inputs) {
+        m_kernel->handle(std::move(input), boot_now(), actions);
+    }
+    const auto wakeup = m_kernel->next_wakeup();
+    m_ready.store(m_kernel->ready(), std::memory_order_relaxed);
+    // The dispatch lock is taken before the kernel lock is given up. Otherwise another thread's
+    // close_connection could overtake the open_connection that it belongs to.
+    const std::lock_guard dispatch_lock{m_dispatch_lock};
+    kernel_lock.unlock();
+    for (action& item : actions) {
+        m_actions(std::move(item));
+    }
+    if (wakeup) {
+        m_wakeups(*wakeup);
+    }
+}
+
+std::string core_gate::status_json() const {
+    const std::lock_guard lock{m_kernel_lock};
+    return m_kernel->status_json();
+}
+
+std::string core_gate::explain_json(std::string_view session) const {
+    const std::lock_guard lock{m_kernel_lock};
+    return m_kernel->explain_json(session);
+}
+
+}  // namespace jasminelead::daemon
--- /dev/null
+++ b/daemon/database_connection.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <deque>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "event_sink.h"
+#include "fiber_event.h"
+#include "http_client.h"
+
+namespace jasminelead::daemon {
+
+/// One database connection of an endpoint: opens, runs one statement at a time, and reports its
+/// loss. Belongs to one thread; `serve` is the body of its fiber.
+class database_connection : public std::enable_shared_from_this<database_connection> {
+public:
+    database_connection(boost::asio::io_context& io, open_connection request, std::string address,
+                        const event_sink& events);
+
+    /// Returns when the connection is closed or lost.
+    void serve();
+    void run(run_statement statement);
+    /// Ends the connection without an event.
+    void close();
+
+private:
+    std::optional<endpoint_error> open(position_stamp& stamp);
+    std::optional<endpoint_error> run_next();
+    std::optional<endpoint_error> check_idle();
+    void watch_idle();
+    void serve_opened();
+
+    open_connection m_request;
+    std::string m_address;
+    const event_sink& m_events;
+    http_client m_client;
+    fiber_event m_work;
+    std::deque<run_statement> m_statements;
+    bool m_watching = false;  // A wait for readability is pending.
+    bool m_closed = false;
+};
+
+}  // namespace jasminelead::daemon
--- /dev/null
+++ b/daemon/endpoint_client.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <utility>
+
+#include "address_book.h"
+#include "database_connection.h"
+#include "event_sink.h"
+#include "http_pool.h"
+#include "worker.h"
+
+namespace jasminelead::daemon {
+
+/// The endpoints that are served by one worker: their database connections and control calls. All
+/// functions run on the worker's thread.
+class endpoint_client {
+public:
+    endpoint_client(worker& home, const address_book& addresses, event_sink events);
+
+    void open(open_connection request);
+    void run(run_statement statement);
+    void close(const close_connection& request);
+    void call(control_call request);
+    /// Closes everything, so that the worker's fibers end.
+    void stop();
+
+private:
+    using connection_key = std::pair<endpoint_id, connection_id>;
+    std::variant<control_result, endpoint_error> perform(const control_call& request);
+
+    worker& m_home;
+    const address_book& m_addresses;
+    event_sink m_events;
+    http_pool m_control;
+    std::map<connection_key, std::shared_ptr<database_connection>> m_connections;
+    bool m_stopped = false;
+};
+
+}  // namespace jasminelead::daemon
--- /dev/null
+++ b/daemon/event_sink.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <functional>
+#include <span>
+
+#include "jasminelead/messages.h"
+
+namespace jasminelead::daemon {
+
+/// Passes events to the kernel, in order and under one lock.
+using event_sink = std::function<void(std::span<event>)>;
+
+inline void emit(const event_sink& sink, event input) {
+    sink(std::span{&input, 1});
+}
+
+}  // namespace jasminelead::daemon
--- /dev/null
+++ b/daemon/fiber_event.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <boost/fiber/context.hpp>
+#include <utility>
+
+namespace jasminelead::daemon {
+
+/// Wakes one fiber. The waiting fiber and all notifiers belong to the same thread.
+class fiber_event {
+public:
+    void notify() {
+        m_set = true;
+        if (m_waiter != nullptr) {
+            boost::fibers::context::active()->schedule(std::exchange(m_waiter, nullptr));
+        }
+    }
+    /// Returns after the next notification, or at once when one came since the last wait.
+    void wait() {
+        if (!m_set) {
+            m_waiter = boost::fibers::context::active();
+            m_waiter->suspend();
+        }
+        m_set = false;
+    }
+
+private:
+    boost::fibers::context* m_waiter = nullptr;
+    bool m_set = false;
+};
+
+}  // namespace jasminelead::daemon
--- /dev/null
+++ b/daemon/http_client.cc
@@ -0,0 +1,113 @@
+#include "http_client.h"
+
+#include <boost/asio/error.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <utility>
+
+namespace jasminelead::daemon {
+namespace {
+
+namespace http = boost::beast::http;
+
+constexpr std::size_t read_bytes = std::size_t{16} * 1024;
+constexpr std::uint32_t most_header_bytes = 8 * 1024;
+// Values of the store may be up to 1 MB, and JSON escapes can double them.
+constexpr std::uint64_t most_response_bytes = std::uint64_t{4} * 1024 * 1024;
+
+endpoint_error translate(const boost::system::error_code& error) {
+    if (error == boost::asio::error::timed_out) {
+        return endpoint_error::timeout;
+    }
+    if (error == boost::asio::error::connection_refused ||
+        error == boost::asio::error::host_unreachable ||
+        error == boost::asio::error::network_unreachable) {
+        return endpoint_error::refused;
+    }
+    if (error.category() == http::make_error_code(http::error::bad_version).category() &&
+        error != http::error::partial_message && error != http::error::end_of_stream) {
+        return endpoint_error::protocol;
+    }
+    return endpoint_error::reset;
+}
+
+std::string render_request(std::string_view method, std::string_view target, std::string_view host,
+                           std::string_view body) {
+    std::string text;
+    text.reserve(body.size() + 160);
+    text.append(method).append(" ").append(target).append(" HTTP/1.1\r\nHost: ").append(host);
+    text.append("\r\nContent-Type: application/json\r\nContent-Length: ");
+    text.append(std::to_string(body.size())).append("\r\n\r\n").append(body);
+    return text;
+}
+
+}  // namespace
+
+endpoint_error http_client::fail(const boost::system::error_code& error) {
+    m_stream.close();
+    return translate(error);
+}
+
+std::optional<endpoint_error> http_client::connect(std::string_view address, steady_time deadline) {
+    const auto to = parse_address(address);
+    if (!to) {
+        return endpoint_error::refused;
+    }
+    m_host = address;
+    const auto error = m_stream.connect(*to, deadline);
+    if (error) {
+        return fail(error);
+    }
+    return std::nullopt;
+}
+
+std::variant<http_response, endpoint_error> http_client::exchange(std::string_view method,
+                                                                  std::string_view target,
+                                                                  std::string_view body,
+                                                                  steady_time deadline) {
+    const std::string request = render_request(method, target, m_host, body);
+    const auto error = m_stream.write(boost::asio::buffer(request), deadline);
+    if (error) {
+        return fail(error);
+    }
+    return read_response(deadline);
+}
+
+std::variant<http_response, endpoint_error> http_client::read_response(steady_time deadline) {
+    http::response_parser<http::string_body> parser;
+    parser.eager(true);
+    parser.header_limit(most_header_bytes);
+    parser.body_limit(most_response_bytes);
+    boost::system::error_code error;
+    while (!parser.is_done()) {
+        if (m_received.size() > 0) {
+            m_received.consume(parser.put(m_received.data(), error));
+            if (error && error != http::error::need_more) {
+                return fail(error);
+            }
+            if (!error) {
+                continue;
+            }
+        }
+        const std::size_t size =
+            m_stream.read_some(m_received.prepare(read_bytes), deadline, error);
+        if (error) {
+            return fail(error);
+        }
+        m_received.commit(size);
+    }
+    http_response response;
+    response.status = parser.get().result_int();
+    response.keep_alive = parser.keep_alive();
+    response.body = std::move(parser.get().body());
+    if (!response.keep_alive) {
+        m_stream.close();
+    }
+    return response;
+}
+
+bool http_client::is_usable() {
+    return m_stream.is_open() && m_received.size() == 0 && m_stream.is_quiet();
+}
+
+}  // namespace jasminelead::daemon
--- /dev/null
+++ b/daemon/http_client.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <variant>
+
+#include "fiber_stream.h"
+#include "jasminelead/messages.h"
+
+namespace jasminelead::daemon {
+
+struct http_response {
+    unsigned status = 0;
+    std::string body;
+    bool keep_alive = false;
+};
+
+/// One HTTP/1.1 connection to an endpoint or the store. Calls suspend the calling fiber; one
+/// request at a time.
+class http_client {
+public:
+    explicit http_client(boost::asio::io_context& io) : m_stream{io} {}
+
+    std::optional<endpoint_error> connect(std::string_view address, steady_time deadline);
+    /// After an error or a response without keep-alive the connection is closed.
+    std::variant<http_response, endpoint_error> exchange(std::string_view method,
+                                                         std::string_view target,
+                                                         std::string_view body,
+                                                         steady_time deadline);
+    /// Calls back once when bytes arrive or the connection ends.
+    template <class Callback>
+    void when_readable(Callback callback) {
+        m_stream.socket().async_wait(
+            tcp::socket::wait_read,
+            [callback = std::move(callback)](const boost::system::error_code&) { callback(); });
+    }
+    /// False when the other side has closed, or sent something that nobody asked for.
+    [[nodiscard]] bool is_usable();
+    void close() { m_stream.close(); }
+
+private:
+    std::variant<http_response, endpoint_error> read_response(steady_time deadline);
+    endpoint_error fail(const boost::system::error_code& error);
+
+    fiber_stream m_stream;
+    std::string m_host;
+    boost::beast::flat_buffer m_received;
+};
+
+}  // namespace jasminelead::daemon
--- /dev/null
+++ b/daemon/main.cc
@@ -0,0 +1,123 @@
+
+#include <unistd.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <cxxopts.hpp>
+#include <iostream>
+#include <memory>
+#include <random>
+#include <thread>
+
+#include "clock.h"
+#include "jasminelead/kernel_options.h"
+#include "log.h"
+#include "node.h"
+#include "settings.h"
+
+namespace {
+
+using namespace jasminelead;
+using namespace jasminelead::daemon;
+
+constexpr int exit_settings = 2;
+constexpr std::string_view version = "0.1.0";
+
+kernel_options options_of(const settings& from) {
+    kernel_options options;
+    options.self = from.host;
+    options.data_centre = from.data_centre;
+    options.incarnation = wall_clock_incarnation();
+    options.seed = std::random_device{}();
+    options.token_keys = from.token_keys;
+    options.routing_policy = from.routing_policy;
+    options.failover_policy = from.failover_policy;
+    return options;
+}
+
+sigset_t block_signals() {
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    // Blocked in all threads, because threads inherit the mask; sigwait receives them.
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+    return signals;
+}
+
+/// The first signal drains, the second one ends the process at once.
+void watch_signals(node& running, const sigset_t& signals) {
+    std::thread{[&running, signals] {
+        int number = 0;
+        sigwait(&signals, &number);
+        running.drain();
+        sigwait(&signals, &number);
+        std::_Exit(EXIT_FAILURE);
+    }}.detach();
+}
+
+int serve(const settings& loaded) {
+    const sigset_t signals = block_signals();
+    start_log(loaded.log_level);
+    std::unique_ptr<core_kernel> kernel;
+    try {
+        kernel = make_kernel(options_of(loaded));
+    } catch (const std::invalid_argument& error) {
+        std::cerr << error.what() << '\n';
+        return exit_settings;
+    }
+    node running{loaded, std::move(kernel)};
+    if (const auto fault = running.start()) {
+        std::cerr << *fault << '\n';
+        return EXIT_FAILURE;
+    }
+    log_info("serving as " + loaded.host.str() + " at " + loaded.advertise);
+    watch_signals(running, signals);
+    running.wait_for_drain_request();
+    const bool drained = running.wait_drained(std::chrono::milliseconds{loaded.drain_timeout_ms});
+    log_info(drained ? "drained" : "drain timeout");
+    // The signal thread still refers to the node, so the process ends without its destructor.
+    running.stop();
+    std::cerr.flush();
+    std::_Exit(EXIT_SUCCESS);
+}
+
+int run(const cxxopts::ParseResult& arguments) {
+    const auto loaded = load_settings(arguments["config"].as<std::string>(), process_environment);
+    if (const auto* const errors = std::get_if<settings_errors>(&loaded)) {
+        for (const std::string& error : *errors) {
+            std::cerr << error << '\n';
+        }
+        return exit_settings;
+    }
+    return arguments.count("check") > 0 ? EXIT_SUCCESS : serve(std::get<settings>(loaded));
+}
+
+}  // namespace
+
+int main(int count, char** values) {
+    cxxopts::Options options{"jasminelead", "Database proxy with session consistency"};
+    options.add_options()("config", "Settings file (YAML)", cxxopts::value<std::string>())(
+        "check", "Check the settings and exit")("version", "Print the version")("help",
+                                                                                "Print this text");
+    try {
+        const auto arguments = options.parse(count, values);
+        if (arguments.count("help") > 0) {
+            std::cout << options.help();
+            return EXIT_SUCCESS;
+        }
+        if (arguments.count("version") > 0) {
+            std::cout << "jasminelead " << version << '\n';
+            return EXIT_SUCCESS;
+        }
+        if (arguments.count("config") == 0) {
+            std::cerr << "--config is missing\n";
+            return exit_settings;
+        }
+        return run(arguments);
+    } catch (const cxxopts::exceptions::exception& error) {
+        std::cerr << error.what() << '\n';
+        return exit_settings;
+    }
+}
--- /dev/null
+++ b/daemon/node.cc
@@ -0,0 +1,230 @@
+#include "node.h"
+
+#include <chrono>
+#include <functional>
+#include <thread>
+#include <utility>
+
+#include "log.h"
+
+namespace jasminelead::daemon {
+namespace {
+
+// Peer links and database connections of callers above the limit stay possible.
+constexpr std::size_t reserved_connections = 256;
+constexpr std::chrono::milliseconds drain_poll{10};
+
+template <class... Functions>
+struct overloaded_visitor : Functions... {
+    using Functions::operator()...;
+};
+template <class... Functions>
+overloaded_visitor(Functions...) -> overloaded_visitor<Functions...>;
+
+std::vector<worker*> workers_of(const auto& seats) {
+    std::vector<worker*> workers;
+    for (const auto& item : seats) {
+        workers.push_back(item->home.get());
+    }
+    return workers;
+}
+
+}  // namespace
+
+node::seat::seat(node& owner, unsigned index)
+    : home{std::make_unique<worker>()},
+      callers{*home, owner.m_callers, index},
+      peers{*home, owner.m_settings.host, owner.m_addresses, owner.events(),
+            [&owner](std::string_view counter, std::string_view label) {
+                owner.m_metrics.count(counter, label);
+            }},
+      endpoints{*home, owner.m_addresses, owner.events()} {}
+
+node::node(const settings& options, std::unique_ptr<core_kernel> kernel)
+    : m_settings{options},
+      m_gate{std::move(kernel), [this](action&& item) { carry_out(std::move(item)); },
+             [this](instant at) { m_wakeup.arm(at); }},
+      m_routes{m_gate, m_metrics, [this] { drain(); }},
+      m_callers{events(), m_metrics, m_routes,
+                [this](const host_id& from, int descriptor, bool is_v6, std::string received) {
+                    adopt_peer(from, descriptor, is_v6, std::move(received));
+                }},
+      m_seats{[this] {
+          std::vector<std::unique_ptr<seat>> seats;
+          for (unsigned index = 0; index < m_settings.workers; ++index) {
+              seats.push_back(std::make_unique<seat>(*this, index));
+          }
+          return seats;
+      }()},
+      m_store{first_worker(), m_settings.store, m_addresses, events()},
+      m_wakeup{first_worker(), [this] { m_gate.submit(tick{}); }},
+      m_listener{workers_of(m_seats),
+                 [this](unsigned index, tcp::socket socket) { accept(index, std::move(socket)); }} {
+}
+
+node::~node() {
+    stop();
+}
+
+event_sink node::events() {
+    return [this](std::span<event> inputs) { m_gate.submit(inputs); };
+}
+
+std::optional<std::string> node::start() {
+    if (auto fault = m_listener.listen(m_settings.listen)) {
+        return fault;
+    }
+    first_worker().post([this] { m_store.start(); });
+    // The first tick lets the kernel ask for its next wake-up.
+    m_gate.submit(tick{});
+    return std::nullopt;
+}
+
+std::uint64_t node::wakeups() const {
+    std::uint64_t total = 0;
+    for (const auto& item : m_seats) {
+        total += item->home->wakeups();
+    }
+    return total;
+}
+
+// ---- Actions -----------------------------------------------------------------------------------
+
+template <class Id>
+node::seat& node::seat_of(const Id& id) {
+    return *m_seats[std::hash<Id>{}(id) % m_seats.size()];
+}
+
+template <class Function>
+void node::post(seat& target, Function&& function) {
+    target.home->post(std::forward<Function>(function));
+}
+
+/// Runs under the dispatch lock, so it only hands work over.
+void node::carry_out(action&& item) {
+    std::visit(overloaded_visitor{
+                   [this](caller_reply&& a) {
+                       seat& target = *m_seats[caller_worker::index_of(a.id) % m_seats.size()];
+                       post(target, [&target, a = std::move(a)] { target.callers.deliver(a); });
+                   },
+                   [this](send_peer&& a) {
+                       seat& target = seat_of(a.to);
+                       post(target, [&target, a = std::move(a)] { target.peers.send(a); });
+                   },
+                   [this](open_connection&& a) {
+                       seat& target = seat_of(a.endpoint);
+                       post(target, [&target, a = std::move(a)] { target.endpoints.open(a); });
+                   },
+                   [this](close_connection&& a) {
+                       seat& target = seat_of(a.endpoint);
+                       post(target, [&target, a = std::move(a)] { target.endpoints.close(a); });
+                   },
+                   [this](run_statement&& a) {
+                       seat& target = seat_of(a.endpoint);
+                       post(target, [&target, a = std::move(a)]() mutable {
+                           target.endpoints.run(std::move(a));
+                       });
+                   },
+                   [this](control_call&& a) {
+                       seat& target = seat_of(a.endpoint);
+                       post(target, [&target, a = std::move(a)]() mutable {
+                           target.endpoints.call(std::move(a));
+                       });
+                   },
+                   [this](store_call&& a) {
+                       first_worker().post(
+                           [this, a = std::move(a)]() mutable { m_store.call(std::move(a)); });
+                   },
+                   [](log_state&& a) { log_info(a.text); },
+                   [this](count&& a) { m_metrics.count(a.counter, a.label); },
+                   [this](drain_finished&&) {
+                       const std::lock_guard lock{m_drain_lock};
+                       m_drain_finished = true;
+                       m_drain_changed.notify_all();
+                   },
+               },
+               std::move(item));
+}
+
+// ---- Connections -------------------------------------------------------------------------------
+
+void node::accept(unsigned index, tcp::socket socket) {
+    const std::size_t open = m_callers.connections.load();
+    const std::size_t limit = m_settings.max_client_connections;
+    if (open >= limit + reserved_connections) {
+        m_metrics.count("refused", to_string(reason::connection_limit));
+        return;
+    }
+    m_seats[index]->callers.add(std::move(socket), open >= limit);
+}
+
+void node::adopt_peer(const host_id& from, int descriptor, bool is_v6, std::string received) {
+    seat& target = seat_of(from);
+    post(target, [&target, from, descriptor, is_v6, received = std::move(received)] {
+        boost::system::error_code error;
+        tcp::socket socket{target.home->io()};
+        socket.assign(is_v6 ? tcp::v6() : tcp::v4(), descriptor, error);
+        if (!error) {
+            target.peers.adopt(from, std::move(socket), received);
+        }
+    });
+}
+
+// ---- Shutdown ----------------------------------------------------------------------------------
+
+void node::drain() {
+    {
+        const std::lock_guard lock{m_drain_lock};
+        if (std::exchange(m_drain_requested, true)) {
+            return;
+        }
+    }
+    log_info("draining");
+    m_routes.set_draining();
+    m_callers.draining = true;
+    first_worker().post([this] { m_listener.close(); });
+    m_gate.submit(drain_requested{});
+    m_drain_changed.notify_all();
+}
+
+void node::wait_for_drain_request() {
+    std::unique_lock lock{m_drain_lock};
+    m_drain_changed.wait(lock, [this] { return m_drain_requested; });
+}
+
+bool node::wait_drained(std::chrono::milliseconds timeout) {
+    const auto deadline = std::chrono::steady_clock::now() + timeout;
+    std::unique_lock lock{m_drain_lock};
+    const bool finished =
+        m_drain_changed.wait_until(lock, deadline, [this] { return m_drain_finished; });
+    while (finished && m_callers.unanswered.load() > 0) {
+        if (std::chrono::steady_clock::now() >= deadline) {
+            return false;
+        }
+        std::this_thread::sleep_for(drain_poll);
+    }
+    return finished;
+}
+
+void node::stop() {
+    if (std::exchange(m_stopped, true)) {
+        return;
+    }
+    first_worker().post([this] {
+        m_listener.close();
+        m_store.stop();
+        m_wakeup.close();
+    });
+    for (const auto& item : m_seats) {
+        item->home->post([&target = *item] {
+            target.callers.stop();
+            target.peers.stop();
+            target.endpoints.stop();
+        });
+    }
+    for (const auto& item : m_seats) {
+        item->home->stop();
+    }
+}
+
+}  // namespace jasminelead::daemon
--- /dev/null
+++ b/daemon/node.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include <atomic>
+#include <condition_variable>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "address_book.h"
+#include "caller_listener.h"
+#include "caller_worker.h"
+#include "core_gate.h"
+#include "endpoint_client.h"
+#include "metrics.h"
+#include "operator_routes.h"
+#include "peer_links.h"
+#include "settings.h"
+#include "store_client.h"
+#include "wakeup_timer.h"
+#include "worker.h"
+
+namespace jasminelead::daemon {
+
+/// A running daemon: the kernel with its workers and adapters.
+class node {
+public:
+    node(const settings& options, std::unique_ptr<core_kernel> kernel);
+    ~node();
+    node(const node&) = delete;
+    node& operator=(const node&) = delete;
+    node(node&&) = delete;
+    node& operator=(node&&) = delete;
+
+    /// Returns the reason when the daemon cannot listen.
+    std::optional<std::string> start();
+    [[nodiscard]] std::uint16_t port() const { return m_listener.port(); }
+    [[nodiscard]] metrics& counters() { return m_metrics; }
+    [[nodiscard]] worker& first_worker() { return *m_seats.front()->home; }
+    /// Number of times that the workers were woken.
+    [[nodiscard]] std::uint64_t wakeups() const;
+
+    /// Starts a planned shutdown. Any thread; further calls change nothing.
+    void drain();
+    /// Waits until the drain has finished and all responses are written, or the time has passed.
+    /// False when it passed.
+    bool wait_drained(std::chrono::milliseconds timeout);
+    /// Blocks until a drain begins.
+    void wait_for_drain_request();
+    /// Closes everything and ends the threads.
+    void stop();
+
+private:
+    /// One worker and the adapters that live on it.
+    struct seat {
+        seat(node& owner, unsigned index);
+        std::unique_ptr<worker> home;
+        caller_worker callers;
+        peer_links peers;
+        endpoint_client endpoints;
+    };
+
+    event_sink events();
+    void carry_out(action&& item);
+    void accept(unsigned index, tcp::socket socket);
+    void adopt_peer(const host_id& from, int descriptor, bool is_v6, std::string received);
+    template <class Id>
+    seat& seat_of(const Id& id);
+    template <class Function>
+    void post(seat& target, Function&& function);
+
+    settings m_settings;
+    metrics m_metrics;
+    address_book m_addresses;
+    core_gate m_gate;
+    operator_routes m_routes;
+    caller_shared m_callers;
+    std::vector<std::unique_ptr<seat>> m_seats;
+    store_client m_store;
+    wakeup_timer m_wakeup;
+    caller_listener m_listener;
+    std::mutex m_drain_lock;
+    std::condition_variable m_drain_changed;
+    bool m_drain_requested = false;
+    bool m_drain_finished = false;
+    bool m_stopped = false;
+};
+
+}  // namespace jasminelead::daemon
--- /dev/null
+++ b/daemon/operator_routes.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <functional>
+#include <string>
+#include <string_view>
+
+#include "core_gate.h"
+#include "http_text.h"
+#include "metrics.h"
+
+namespace jasminelead::daemon {
+
+struct route_response {
+    int status = 200;
+    std::string body;
+    std::string_view content_type = json_type;
+};
+
+/// The paths for operators: health, metrics, status, explain, drain and switchover.
+class operator_routes {
+public:
+    operator_routes(core_gate& gate, metrics& counters, std::function<void()> start_drain);
+
+    [[nodiscard]] route_response serve(std::string_view method, std::string_view target,
+                                       std::string_view body) const;
+    /// From now on the daemon reports that it is not ready.
+    void set_draining() { m_draining = true; }
+
+private:
+    [[nodiscard]] route_response get(std::string_view path, std::string_view query) const;
+    [[nodiscard]] route_response post(std::string_view path, std::string_view body) const;
+    [[nodiscard]] route_response ready() const;
+    [[nodiscard]] route_response explain(std::string_view query) const;
+    [[nodiscard]] route_response switch_over(std::string_view body) const;
+
+    core_gate& m_gate;
+    metrics& m_metrics;
+    std::function<void()> m_start_drain;
+    std::atomic<bool> m_draining = false;
+};
+
+}  // namespace jasminelead::daemon
--- /dev/null
+++ b/daemon/peer_link.cc
@@ -0,0 +1,344 @@
+#include "peer_link.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <utility>
+
+#include "peer_codec.h"
+
+namespace jasminelead::daemon {
+namespace {
+
+using steady_clock = std::chrono::steady_clock;
+
+constexpr std::chrono::milliseconds connect_timeout{200};
+constexpr std::chrono::milliseconds handshake_timeout{500};
+constexpr std::chrono::milliseconds silence_limit{2000};
+// Four frames within the silence limit, so that one late frame does not close a link.
+constexpr std::chrono::milliseconds watch_interval{500};
+// A late reply still frees its place; after this time no reply is expected.
+constexpr std::chrono::milliseconds reply_grace{1000};
+constexpr int unacknowledged_ms = 5000;
+
+constexpr std::size_t most_calls = 1024;
+constexpr std::size_t most_control_frames = 256;
+// Replies are bounded by the peer's calls in flight; a queue beyond that is a peer that stalled.
+constexpr std::size_t most_frames = 4096;
+constexpr std::size_t batch_bytes = std::size_t{64} * 1024;
+constexpr std::size_t read_bytes = std::size_t{64} * 1024;
+constexpr std::size_t most_handshake_bytes = 1024;
+constexpr std::string_view head_end = "\r\n\r\n";
+
+endpoint_error translate(const boost::system::error_code& error) {
+    if (error == boost::asio::error::timed_out) {
+        return endpoint_error::timeout;
+    }
+    const bool refused = error == boost::asio::error::connection_refused ||
+                         error == boost::asio::error::host_unreachable ||
+                         error == boost::asio::error::network_unreachable;
+    return refused ? endpoint_error::refused : endpoint_error::reset;
+}
+
+steady_time forget_time(duration remaining) {
+    return steady_clock::now() + std::chrono::microseconds{remaining.us()} + reply_grace;
+}
+
+void forget_expired(std::map<call_id, steady_time>& calls) {
+    const steady_time now = steady_clock::now();
+    std::erase_if(calls, [now](const auto& item) { return item.second < now; });
+}
+
+/// Replaces a reply that does not fit into a frame.
+std::string encode_fitting(const peer_message& message) {
+    std::string payload = encode_peer_message(message);
+    const auto* const reply = std::get_if<statement_reply>(&message);
+    if (payload.size() <= most_frame_bytes || reply == nullptr) {
+        return payload;
+    }
+    statement_reply shorter = *reply;
+    shorter.result = unknown_outcome{reason::too_large, "the result does not fit into a frame"};
+    return encode_peer_message(shorter);
+}
+
+}  // namespace
+
+std::string_view upgrade_response() {
+    return "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: "
+           "jasminelead\r\n\r\n";
+}
+
+peer_link::peer_link(worker& home, host_id self, host_id peer, peer_link_owner& owner)
+    : m_home{home},
+      m_self{std::move(self)},
+      m_peer{std::move(peer)},
+      m_owner{owner},
+      m_timer{home.io()} {}
+
+void peer_link::open(const tcp::endpoint& to) {
+    m_stream = std::make_unique<fiber_stream>(m_home.io());
+    m_home.spawn([self = shared_from_this(), to] {
+        const auto error = self->shake_hands(to);
+        if (self->m_closed) {
+            return;
+        }
+        if (error) {
+            self->lose(translate(error));
+            return;
+        }
+        self->start();
+    });
+}
+
+boost::system::error_code peer_link::shake_hands(const tcp::endpoint& to) {
+    auto error = m_stream->connect(to, steady_clock::now() + connect_timeout);
+    if (error) {
+        return error;
+    }
+    const std::string request =
+        "GET /v1/peer HTTP/1.1\r\nHost: peer\r\nConnection: Upgrade\r\nUpgrade: jasminelead\r\n"
+        "X-Jasminelead-Host: " +
+        m_self.str() + "\r\n\r\n";
+    const steady_time deadline = steady_clock::now() + handshake_timeout;
+    error = m_stream->write(boost::asio::buffer(request), deadline);
+    while (!error && m_received.find(head_end) == std::string::npos) {
+        std::array<char, most_handshake_bytes> chunk{};
+        const std::size_t size = m_stream->read_some(boost::asio::buffer(chunk), deadline, error);
+        m_received.append(chunk.data(), size);
+        if (m_received.size() > most_handshake_bytes) {
+            return boost::asio::error::message_size;
+        }
+    }
+    if (!error && !m_received.starts_with("HTTP/1.1 101")) {
+        return boost::asio::error::connection_reset;
+    }
+    if (!error) {
+        m_received.erase(0, m_received.find(head_end) + head_end.size());
+    }
+    return error;
+}
+
+void peer_link::adopt(tcp::socket socket, std::string received) {
+    m_stream = std::make_unique<fiber_stream>(m_home.io(), std::move(socket));
+    m_received = std::move(received);
+    start();
+}
+
+void peer_link::start() {
+    m_open = true;
+    m_last_heard = steady_clock::now();
+    // A host that vanished without a reset must not keep its link for the 15 minutes of TCP.
+    setsockopt(m_stream->socket().native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
+               &unacknowledged_ms, sizeof unacknowledged_ms);
+    m_owner.link_opened(*this);
+    m_home.spawn([self = shared_from_this()] { self->write_frames(); });
+    m_home.spawn([self = shared_from_this()] { self->read_frames(); });
+}
+
+// ---- Sending -----------------------------------------------------------------------------------
+
+bool peer_link::send(const peer_message& message) {
+    if (m_closed) {
+        return false;
+    }
+    const auto* const call = std::get_if<statement_call>(&message);
+    const bool accepted = call != nullptr ? accept_call(*call) : accept_other(message);
+    if (!accepted) {
+        return call == nullptr;
+    }
+    const std::string payload = encode_fitting(message);
+    if (payload.size() > most_frame_bytes) {
+        m_owner.dropped("frame_too_large");
+        return call == nullptr;
+    }
+    frame item;
+    append_frame(item.bytes, payload);
+    if (call != nullptr) {
+        item.call = call->id;
+        if (m_calls.empty()) {
+            m_waiting_since = steady_clock::now();
+        }
+        m_calls[call->id] = forget_time(call->remaining);
+        watch();
+    }
+    m_queue.push_back(std::move(item));
+    m_writable.notify();
+    return true;
+}
+
+bool peer_link::accept_call(const statement_call& /*call*/) {
+    if (m_calls.size() >= most_calls) {
+        forget_expired(m_calls);
+    }
+    return m_calls.size() < most_calls && m_queue.size() < most_frames;
+}
+
+bool peer_link::accept_other(const peer_message& message) {
+    if (const auto* const reply = std::get_if<statement_reply>(&message)) {
+        m_owed.erase(reply->id);
+        if (m_queue.size() >= most_frames) {
+            lose(endpoint_error::timeout);
+        }
+        return !m_closed;
+    }
+    if (m_queue.size() >= most_control_frames) {
+        m_owner.dropped("control");
+        return false;
+    }
+    return true;
+}
+
+std::string peer_link::next_batch() {
+    std::string batch;
+    while (!m_queue.empty() && batch.size() < batch_bytes) {
+        batch += m_queue.front().bytes;
+        m_queue.pop_front();
+    }
+    return batch;
+}
+
+void peer_link::write_frames() {
+    while (!m_closed) {
+        if (m_queue.empty()) {
+            m_writable.wait();
+            continue;
+        }
+        const std::string batch = next_batch();
+        const auto error = m_stream->write(boost::asio::buffer(batch), no_deadline);
+        if (error) {
+            lose(translate(error));
+        }
+    }
+}
+
+// ---- Receiving ---------------------------------------------------------------------------------
+
+void peer_link::read_frames() {
+    std::vector<char> chunk;
+    std::vector<event> events;
+    while (!m_closed) {
+        if (!take_frames(events)) {
+            lose(endpoint_error::reset);
+            return;
+        }
+        if (!events.empty()) {
+            m_owner.received(events);
+            events.clear();
+        }
+        auto error = m_stream->wait(tcp::socket::wait_read, no_deadline);
+        if (!error) {
+            chunk.resize(read_bytes);
+            const std::size_t size =
+                m_stream->read_some(boost::asio::buffer(chunk), no_deadline, error);
+            m_received.append(chunk.data(), size);
+            m_last_heard = steady_clock::now();
+        }
+        if (error) {
+            lose(translate(error));
+        }
+    }
+}
+
+bool peer_link::take_frames(std::vector<event>& events) {
+    std::size_t at = 0;
+    while (m_received.size() - at >= frame_header_bytes) {
+        const std::string_view rest = std::string_view{m_received}.substr(at);
+        const std::size_t size = frame_length(rest);
+        if (size > most_frame_bytes) {
+            return false;
+        }
+        if (rest.size() - frame_header_bytes < size) {
+            break;
+        }
+        at += frame_header_bytes + size;
+        if (size == 0) {
+            continue;  // The peer is alive and still works on a call.
+        }
+        auto message = decode_peer_message(rest.substr(frame_header_bytes, size));
+        if (!message) {
+            m_owner.dropped("frame_malformed");
+            return false;
+        }
+        note(*message);
+        events.emplace_back(peer_received{m_peer, std::move(*message)});
+    }
+    m_received.erase(0, at);
+    return true;
+}
+
+void peer_link::note(const peer_message& message) {
+    if (const auto* const reply = std::get_if<statement_reply>(&message)) {
+        m_calls.erase(reply->id);
+    }
+    if (const auto* const call = std::get_if<statement_call>(&message)) {
+        m_owed[call->id] = forget_time(call->remaining);
+        watch();
+    }
+}
+
+// ---- Silence -----------------------------------------------------------------------------------
+
+void peer_link::watch() {
+    if (std::exchange(m_watching, true)) {
+        return;
+    }
+    m_timer.expires_after(watch_interval);
+    m_timer.async_wait([self = shared_from_this()](boost::system::error_code error) {
+        self->m_watching = false;
+        if (!error && !self->m_closed) {
+            self->check_silence();
+        }
+    });
+}
+
+void peer_link::check_silence() {
+    forget_expired(m_calls);
+    forget_expired(m_owed);
+    const steady_time heard = std::max(m_last_heard, m_waiting_since);
+    if (m_open && !m_calls.empty() && steady_clock::now() - heard > silence_limit) {
+        lose(endpoint_error::timeout);
+        return;
+    }
+    // An empty frame tells the peer that its calls are still in progress.
+    if (m_open && !m_owed.empty() && m_queue.empty()) {
+        frame item;
+        append_frame(item.bytes, {});
+        m_queue.push_back(std::move(item));
+        m_writable.notify();
+    }
+    if (!m_calls.empty() || !m_owed.empty()) {
+        watch();
+    }
+}
+
+void peer_link::lose(endpoint_error error) {
+    if (m_closed) {
+        return;
+    }
+    const auto self = shared_from_this();
+    std::vector<call_id> unsent;
+    for (const frame& item : m_queue) {
+        if (item.call) {
+            unsent.push_back(*item.call);
+        }
+    }
+    close();
+    m_owner.link_lost(*this, error, unsent);
+}
+
+void peer_link::close() {
+    m_closed = true;
+    m_open = false;
+    m_queue.clear();
+    m_timer.cancel();
+    m_writable.notify();
+    if (m_stream) {
+        m_stream->close();
+    }
+}
+
+}  // namespace jasminelead::daemon
--- /dev/null
+++ b/daemon/peer_links.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "address_book.h"
+#include "event_sink.h"
+#include "peer_link.h"
+#include "worker.h"
+
+namespace jasminelead::daemon {
+
+/// The links to the peers that are served by one worker. All functions run on its thread.
+class peer_links : public peer_link_owner {
+public:
+    using counter = std::function<void(std::string_view counter, std::string_view label)>;
+
+    peer_links(worker& home, host_id self, const address_book& addresses, event_sink events,
+               counter count);
+
+    /// Uses an open link or opens one. A statement call that cannot be handed over comes back as
+    /// peer_unsent; other messages are dropped.
+    void send(const send_peer& message);
+    /// Takes over an incoming connection after its upgrade.
+    void adopt(const host_id& from, tcp::socket socket, std::string received);
+    void stop();
+
+    void link_opened(peer_link& link) override;
+    void received(std::span<event> events) override;
+    void link_lost(peer_link& link, endpoint_error error, std::span<const call_id> unsent) override;
+    void dropped(std::string_view what) override;
+
+private:
+    using link_ptr = std::shared_ptr<peer_link>;
+    struct peer {
+        link_ptr outgoing;
+        std::vector<link_ptr> incoming;  // Newest last.
+        steady_time retry_at;
+        unsigned failures = 0;
+    };
+    link_ptr choose(peer& to, const send_peer& message);
+    link_ptr open(peer& to, const host_id& host);
+    void back_off(peer& to);
+
+    worker& m_home;
+    host_id m_self;
+    const address_book& m_addresses;
+    event_sink m_events;
+    counter m_count;
+    std::map<host_id, peer> m_peers;
+    std::minstd_rand m_random;
+    bool m_stopped = false;
+};
+
+}  // namespace jasminelead::daemon
--- /dev/null
+++ b/daemon/settings.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "jasminelead/types.h"
+
+namespace jasminelead::daemon {
+
+struct settings {
+    host_id host;
+    data_centre_id data_centre;
+    std::string listen;     ///< IP address and port.
+    std::string advertise;  ///< Address in the host list; the same as `listen` when absent.
+    std::string store;
+    std::uint32_t workers = 2;
+    std::vector<std::pair<std::uint8_t, std::string>> token_keys;  ///< Id and 32-byte secret.
+    std::uint32_t max_client_connections = 4096;
+    std::uint32_t drain_timeout_ms = 30'000;
+    std::string routing_policy = "default";
+    std::string failover_policy = "default";
+    std::string log_level = "info";
+};
+
+/// One line for each error, with the line number of the file.
+using settings_errors = std::vector<std::string>;
+/// Returns the value of an environment variable.
+using environment = std::function<std::optional<std::string>(const char*)>;
+
+std::optional<std::string> process_environment(const char* name);
+
+/// Reads YAML; the JASMINELEAD_ variables override LISTEN, ADVERTISE, DATA_CENTRE, HOST and STORE.
+std::variant<settings, settings_errors> parse_settings(const std::string& yaml,
+                                                       const environment& variables);
+std::variant<settings, settings_errors> load_settings(const std::string& path,
+                                                      const environment& variables);
+
+}  // namespace jasminelead::daemon
--- /dev/null
+++ b/daemon/store_client.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <optional>
+#include <random>
+#include <string>
+#include <string_view>
+
+#include "address_book.h"
+#include "event_sink.h"
+#include "fiber_event.h"
+#include "http_pool.h"
+#include "worker.h"
+
+namespace jasminelead::daemon {
+
+/// Nothing when the text is not a complete host list.
+std::optional<host_list> parse_host_list(std::string_view body);
+
+/// Calls to the platform: key-value calls and the polled host list. Belongs to one worker.
+class store_client {
+public:
+    store_client(worker& home, std::string address, address_book& addresses, event_sink events);
+
+    /// Starts polling the host list.
+    void start();
+    void call(store_call request);
+    void stop();
+
+private:
+    store_result perform(const store_request& request);
+    void poll_hosts();
+    bool poll_once();
+    void pause(bool polled);
+
+    worker& m_home;
+    std::string m_address;
+    address_book& m_addresses;
+    event_sink m_events;
+    http_pool m_pool;
+    boost::asio::steady_timer m_timer;
+    fiber_event m_wake;
+    std::minstd_rand m_random;
+    bool m_stopped = false;
+};
+
+}  // namespace jasminelead::daemon
--- /dev/null
+++ b/daemon/wakeup_timer.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <atomic>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <functional>
+
+#include "jasminelead/types.h"
+#include "worker.h"
+
+namespace jasminelead::daemon {
+
+/// One timer that calls back at the earliest of the requested times.
+class wakeup_timer {
+public:
+    wakeup_timer(worker& home, std::function<void()> fire);
+
+    /// Any thread. A time later than the armed one is ignored; the caller asks again on each call.
+    void arm(instant at);
+    /// Only on the worker's thread.
+    void close();
+
+private:
+    void wait();
+
+    worker& m_home;
+    std::function<void()> m_fire;
+    boost::asio::steady_timer m_timer;
+    std::atomic<std::int64_t> m_armed_us;
+    bool m_closed = false;
+};
+
+}  // namespace jasminelead::daemon
--- /dev/null
+++ b/support/fake_kernel.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "jasminelead/core_kernel.h"
+
+/// A kernel without decisions, for tests and benchmarks of the daemon's adapters.
+namespace jasminelead::support {
+
+/// Answers every caller request at once and finishes a drain at once.
+class fake_kernel : public core_kernel {
+public:
+    void handle(event input, instant /*now*/, action_list& out) override {
+        if (auto* const request = std::get_if<caller_request>(&input)) {
+            answer(*request, out);
+        }
+        if (std::holds_alternative<drain_requested>(input)) {
+            release(out);
+            out.emplace_back(drain_finished{});
+        }
+    }
+    [[nodiscard]] std::optional<instant> next_wakeup() const override { return std::nullopt; }
+    [[nodiscard]] bool ready() const override { return true; }
+    [[nodiscard]] std::string status_json() const override { return "{}"; }
+    [[nodiscard]] std::string explain_json(std::string_view session) const override {
+        return "\"" + std::string{session} + "\"";
+    }
+
+private:
+    /// A request with the text "hold" is kept until one with the text "release" comes; then the
+    /// last one is answered first.
+    void answer(const caller_request& request, action_list& out) {
+        if (request.text == "hold") {
+            m_held.push_back(request.id);
+            return;
+        }
+        if (request.text == "release") {
+            release(out);
+        }
+        out.emplace_back(caller_reply{request.id, done{R"({"value":"1"})"}, "token", {}, {}});
+    }
+    void release(action_list& out) {
+        while (!m_held.empty()) {
+            out.emplace_back(caller_reply{m_held.back(), done{"1"}, {}, {}, {}});
+            m_held.pop_back();
+        }
+    }
+
+    std::vector<request_id> m_held;
+};
+
+}  // namespace jasminelead::support
--- /dev/null
+++ b/test/worker_test.cc
@@ -0,0 +1,80 @@
+#include "worker.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <future>
+
+#include "fiber_stream.h"
+
+using namespace jasminelead::daemon;
+
+namespace {
+
+/// Runs an empty function on the worker and waits for it.
+void visit(worker& target) {
+    std::promise<void> visited;
+    target.post([&visited] { visited.set_value(); });
+    visited.get_future().wait();
+}
+
+}  // namespace
+
+// Guards against a scheduler that polls or spins while idle. Each visit may cost a few wake-ups;
+// a polling worker would have thousands in the pause.
+TEST_CASE("an idle worker blocks") {
+    worker idle;
+    std::promise<void> suspended;
+    fiber_event never;
+    idle.post([&] {
+        idle.spawn([&] {
+            suspended.set_value();
+            never.wait();
+        });
+    });
+    suspended.get_future().wait();
+    visit(idle);
+    const std::uint64_t before = idle.wakeups();
+    std::this_thread::sleep_for(std::chrono::milliseconds{50});
+    visit(idle);
+    CHECK(idle.wakeups() <= before + 3);
+    idle.post([&never] { never.notify(); });
+}
+
+TEST_CASE("a fiber that waits for a timer lets other fibers run") {
+    worker busy;
+    std::promise<std::string> order;
+    std::string steps;
+    fiber_event go;
+    busy.post([&] {
+        busy.spawn([&] {
+            steps += "a";
+            go.wait();
+            steps += "c";
+            order.set_value(steps);
+        });
+        busy.spawn([&] {
+            steps += "b";
+            boost::asio::steady_timer timer{busy.io(), std::chrono::milliseconds{1}};
+            await_operation(busy.io(), no_deadline,
+                            [&timer](auto handler) { timer.async_wait(std::move(handler)); });
+            go.notify();
+        });
+    });
+    CHECK(order.get_future().get() == "abc");
+}
+
+TEST_CASE("an operation that takes too long ends with a timeout") {
+    worker home;
+    std::promise<boost::system::error_code> result;
+    home.post([&] {
+        home.spawn([&] {
+            boost::asio::steady_timer never{home.io(), std::chrono::hours{1}};
+            const auto deadline = std::chrono::steady_clock::now() + std::chrono::milliseconds{5};
+            result.set_value(await_operation(home.io(), deadline, [&never](auto handler) {
+                never.async_wait(std::move(handler));
+            }));
+        });
+    });
+    CHECK(result.get_future().get() == boost::asio::error::timed_out);
+}
