Add session tokens, read routing, retries and the entry

The entry serves callers' requests by calls to the owners of endpoints. It needs tokens, the proven age of replicas, a router and a retry budget.

Marks of the primary's position are made only from answers whose term a majority confirmed (writes, commits and confirmed reads). An unconfirmed answer of a superseded primary would otherwise prove a wrong age. A read renews the mark when it reaches 75% of the accepted age.

Performance was not measured yet.

--- /dev/null
+++ b/src/entry.cc
@@ -0,0 +1,747 @@
+#include "jasminelead/entry.h"
+
+#include <algorithm>
+#include <limits>
+
+#include "jasminelead/endpoint_json.h"
+
+namespace jasminelead {
+namespace {
+
+using namespace literals;
+using detail::budget_rule;
+using detail::entry_attempt;
+using detail::pending_request;
+
+constexpr std::size_t traces_kept = 1024;
+constexpr duration query_interval = 50_ms;
+constexpr duration budget_wait = 100_ms;
+constexpr duration shortest_pause = 1_ms;
+constexpr duration history_wait = 200_ms;
+
+bool is_read(const pending_request& p) {
+    return p.request.kind == request_kind::statement && p.request.read;
+}
+
+bool is_transactional(const pending_request& p) {
+    return p.request.kind == request_kind::execute || p.request.kind == request_kind::commit ||
+           p.request.kind == request_kind::rollback;
+}
+
+/// True when the answer acknowledges a write.
+bool makes_write(const pending_request& p) {
+    return p.request.kind == request_kind::commit ||
+           (p.request.kind == request_kind::statement && !p.request.read);
+}
+
+/// Running these twice changes nothing. A transaction that nobody uses is rolled back.
+bool is_harmless(const pending_request& p) {
+    const bool can_read =
+        p.request.kind == request_kind::statement || p.request.kind == request_kind::execute;
+    return p.request.kind == request_kind::begin || (can_read && p.request.read);
+}
+
+bool is_repeatable(const pending_request& p) {
+    return is_harmless(p) || p.request.idempotent;
+}
+
+reason reason_of(const outcome& result) {
+    if (const auto* refused = std::get_if<not_run>(&result)) {
+        return refused->why;
+    }
+    const auto* lost = std::get_if<unknown_outcome>(&result);
+    return lost == nullptr ? reason::none : lost->why;
+}
+
+/// True when the failure says something about the endpoint's health; a refusal because of its
+/// role or of the request does not.
+bool shows_trouble(const outcome& result) {
+    const reason why = reason_of(result);
+    return std::holds_alternative<unknown_outcome>(result) || why == reason::endpoint_unavailable ||
+           why == reason::connection_lost || why == reason::overloaded;
+}
+
+bool is_same_target(const entry_attempt& a, const entry_attempt& b) {
+    return a.owner == b.owner && a.endpoint == b.endpoint && a.term == b.term;
+}
+
+std::string join(std::string_view a, std::string_view b) {
+    std::string text{a};
+    text += b;
+    return text;
+}
+
+}  // namespace
+
+entry::entry(core_context& context, group_source& groups, token_codec& tokens,
+             std::string_view routing_policy)
+    : m_context{context},
+      m_groups{groups},
+      m_tokens{tokens},
+      m_router{context, m_marks, routing_policy} {}
+
+// ---- Arrival ---------------------------------------------------------------------------------
+
+void entry::on_request(caller_request request, instant now, action_list& out) {
+    const std::uint64_t serial = m_next_serial++;
+    pending& p = m_pending[serial];
+    p.serial = serial;
+    p.request = std::move(request);
+    p.deadline = now + p.request.timeout;
+    p.trace = {0, p.request.group, p.request.kind, {}, now};
+    m_budget.on_request(now);
+    out.emplace_back(count{"requests", to_string(p.request.kind)});
+    if (is_read(p)) {
+        out.emplace_back(count{"reads", ""});
+    }
+    if (const auto refusal = admit(p)) {
+        finish(p, not_run{*refusal, ""}, out);
+        return;
+    }
+    set_timer(p, p.deadline);
+    plan(p, now, out);
+}
+
+std::optional<reason> entry::admit(pending& p) const {
+    const caller_request& request = p.request;
+    if (request.session.empty()) {
+        p.session = session_token{m_context.random()};
+    } else if (auto token = m_tokens.decode(request.session, m_context.enabled.token_check)) {
+        p.session = std::move(*token);
+    } else {
+        return reason::bad_token;
+    }
+    p.has_session = true;
+    p.trace.session = p.session.id();
+    if (m_context.config == nullptr) {
+        return reason::no_table;
+    }
+    if (!m_context.config->services.contains(request.service)) {
+        return reason::unknown_service;
+    }
+    if (m_context.fleet->endpoints_of(request.group).empty()) {
+        return reason::unknown_group;
+    }
+    if (request.group.str().size() > max_token_name) {
+        return reason::bad_request;
+    }
+    // A rollback leaves no entry; without one a full session could not end its transaction.
+    const bool needs_entry = makes_write(p) || request.kind == request_kind::begin;
+    if (needs_entry && p.session.is_full_for(request.group)) {
+        return reason::session_full;
+    }
+    p.max_age = request.max_age.value_or(default_max_age(request));
+    return admit_transaction(p);
+}
+
+std::optional<reason> entry::admit_transaction(pending& p) const {
+    if (!is_transactional(p)) {
+        return p.request.transaction.empty() ? std::nullopt : std::optional{reason::bad_request};
+    }
+    p.handle = m_tokens.decode_handle(p.request.transaction, m_context.enabled.token_check);
+    if (!p.handle) {
+        return reason::bad_token;
+    }
+    // The write's position would otherwise be kept under the wrong group.
+    return p.handle->group == p.request.group ? std::nullopt : std::optional{reason::bad_request};
+}
+
+duration entry::default_max_age(const caller_request& request) const {
+    const auto service = m_context.config->services.find(request.service);
+    if (service != m_context.config->services.end() && service->second.max_age) {
+        return *service->second.max_age;
+    }
+    const auto group = m_context.config->groups.find(request.group);
+    return group == m_context.config->groups.end() ? group_row{}.max_age : group->second.max_age;
+}
+
+// ---- Planning --------------------------------------------------------------------------------
+
+void entry::plan(pending& p, instant now, action_list& out) {
+    stop_waiting(p);
+    if (now >= p.deadline) {
+        expire(p, now, out);
+    } else if (p.handle) {
+        dispatch(p, p.handle->endpoint, false, "transaction", now, out);
+    } else if (!session_allows(p, now, out)) {
+        return;
+    } else if (is_read(p)) {
+        plan_read(p, now, out);
+    } else {
+        plan_write(p, now, out);
+    }
+}
+
+/// A request of a session whose write is known to be lost is refused before it is sent. A write
+/// would otherwise replace the token's entry, and the caller would not learn of the loss.
+bool entry::session_allows(pending& p, instant now, action_list& out) {
+    const session_entry* written = p.session.find(p.request.group);
+    const group_view& view = m_groups.view(p.request.group);
+    if (!m_context.enabled.token_check || written == nullptr || view.term <= written->term) {
+        return true;
+    }
+    const term_history& terms = m_groups.terms(p.request.group);
+    const bool may_drop = p.request.accept_loss && now - p.trace.at >= history_wait;
+    if (!knows_term_after(terms, written->term) && !may_drop) {
+        const auto row = m_context.config->groups.find(p.request.group);
+        const bool may_lose =
+            row != m_context.config->groups.end() && row->second.acknowledge == durability::primary;
+        query_group(p.request.group, now, out);
+        if (!is_read(p) && may_lose) {
+            wait_for_view(p, reason::session_term_unknown, now, out);
+            return false;
+        }
+        return true;
+    }
+    const position_stamp newest{view.term, view.term, std::numeric_limits<log_position>::max(),
+                                endpoint_role::primary};
+    const auto fault = session_fault(p, newest, now);
+    if (fault) {
+        finish(p, not_run{*fault, ""}, out);
+    }
+    return !fault;
+}
+
+void entry::plan_write(pending& p, instant now, action_list& out) {
+    const endpoint_id primary = m_groups.view(p.request.group).primary;
+    if (primary.empty()) {
+        wait_for_view(p, reason::no_primary, now, out);
+        return;
+    }
+    dispatch(p, primary, false, "primary", now, out);
+}
+
+void entry::plan_read(pending& p, instant now, action_list& out) {
+    const session_entry* session =
+        m_context.enabled.token_check ? p.session.find(p.request.group) : nullptr;
+    const read_requirements read{
+        .group = p.request.group,
+        .view = m_groups.view(p.request.group),
+        .terms = m_groups.terms(p.request.group),
+        .session = session,
+        .max_age = p.max_age,
+        .remaining = p.deadline - now,
+        .avoid = p.avoid_last && p.last ? &p.last->endpoint : nullptr,
+        .may_wait = !p.waited_for_replica,
+        .expect = p.expect,
+    };
+    const route chosen = m_router.choose(read, now, m_context.random);
+    if (const auto* choice = std::get_if<route_choice>(&chosen)) {
+        dispatch(p, choice->endpoint->id, choice->confirm, to_string(choice->cause), now, out);
+    } else if (const auto* pause = std::get_if<route_wait>(&chosen)) {
+        p.waited_for_replica = true;
+        wait(p, reason::no_endpoint_fresh_enough, pause->until, out);
+    } else {
+        wait_for_view(p, std::get<reason>(chosen), now, out);
+    }
+}
+
+void entry::dispatch(pending& p, const endpoint_id& endpoint, bool confirm, std::string_view cause,
+                     instant now, action_list& out) {
+    const host_id* owner =
+        p.handle ? &p.handle->transaction.owner : m_context.fleet->owner_of(endpoint);
+    if (owner == nullptr) {
+        wait_for_view(p, reason::no_owner, now, out);
+        return;
+    }
+    entry_attempt next{0, *owner, endpoint, m_groups.view(p.request.group).term, now, confirm};
+    if (p.attempts > 0 && !may_send_again(p, next, now, out)) {
+        return;
+    }
+    note(p, join("sent to ", join(endpoint.str(), join(", ", cause))));
+    send(p, std::move(next), now, out);
+}
+
+bool entry::may_send_again(pending& p, const entry_attempt& next, instant now, action_list& out) {
+    const bool runs_twice = p.unknown && !is_repeatable(p);
+    if (!check(promise::at_most_once, !runs_twice) && m_context.enabled.retry_guard) {
+        finish(p, unknown_outcome{*p.unknown, ""}, out);
+        return false;
+    }
+    // A new view or owner is new information. The writes that a failover left over would otherwise
+    // use up the budget.
+    const bool is_new_target =
+        p.budget == budget_rule::wait && p.last && !is_same_target(*p.last, next);
+    if (p.budget != budget_rule::exempt && !is_new_target && !m_budget.take(now)) {
+        if (p.budget == budget_rule::wait) {
+            wait(p, p.retried_for, now + budget_wait, out);
+        } else if (std::holds_alternative<not_run>(p.failure)) {
+            finish(p, not_run{reason::retry_budget, std::string{to_string(p.retried_for)}}, out);
+        } else {
+            finish(p, p.failure, out);
+        }
+        return false;
+    }
+    out.emplace_back(count{"retry", to_string(p.retried_for)});
+    note(p, join("retry after ", to_string(p.retried_for)));
+    return true;
+}
+
+void entry::send(pending& p, entry_attempt attempt, instant now, action_list& out) {
+    attempt.call = m_next_call++;
+    statement_call call;
+    call.id = {call_module::entry, attempt.call};
+    call.endpoint = attempt.endpoint;
+    call.kind = p.request.kind;
+    call.service = p.request.service;
+    call.group = p.request.group;
+    call.text = p.request.text;
+    call.read = p.request.read;
+    call.idempotent = p.request.idempotent;
+    call.confirm = attempt.confirm;
+    call.remaining = p.deadline - now;
+    if (p.handle) {
+        call.transaction = p.handle->transaction;
+    }
+    m_calls[attempt.call] = p.serial;
+    m_router.on_sent(attempt.endpoint);
+    out.emplace_back(send_peer{attempt.owner, std::move(call)});
+    ++p.attempts;
+    p.avoid_last = false;
+    p.attempt = std::move(attempt);
+    set_timer(p, p.deadline);
+}
+
+void entry::wait(pending& p, reason why, instant until, action_list& out) {
+    if (p.waits_for != why) {
+        note(p, join("waits: ", to_string(why)));
+        out.emplace_back(count{"wait", to_string(why)});
+    }
+    p.waits_for = why;
+    m_waiting[p.request.group].insert(p.serial);
+    set_timer(p, std::min(until, p.deadline));
+}
+
+void entry::stop_waiting(const pending& p) {
+    const auto waiting = m_waiting.find(p.request.group);
+    if (waiting == m_waiting.end()) {
+        return;
+    }
+    waiting->second.erase(p.serial);
+    if (waiting->second.empty()) {
+        m_waiting.erase(waiting);
+    }
+}
+
+void entry::wait_for_view(pending& p, reason why, instant now, action_list& out) {
+    query_group(p.request.group, now, out);
+    const duration pause =
+        std::clamp(backoff(p.waits++, m_context.random), shortest_pause, query_interval);
+    wait(p, why, now + pause, out);
+}
+
+/// All waiting requests of a group share one pace, so that a long failover does not flood the
+/// owners.
+void entry::query_group(const group_id& group, instant now, action_list& out) {
+    const auto [queried, is_first] = m_queried.try_emplace(group, now);
+    if (!is_first && now - queried->second < query_interval) {
+        return;
+    }
+    queried->second = now;
+    std::vector<host_id> asked;
+    for (const endpoint_entry& endpoint : m_context.fleet->endpoints_of(group)) {
+        const host_id* owner = m_context.fleet->owner_of(endpoint.id);
+        if (owner != nullptr && std::find(asked.begin(), asked.end(), *owner) == asked.end()) {
+            asked.push_back(*owner);
+            out.emplace_back(send_peer{*owner, group_query{group}});
+        }
+    }
+}
+
+void entry::on_view_changed(const group_id& group, instant now, action_list& out) {
+    release(group, true, now, out);
+}
+
+/// Without `all`, requests that pause before they repeat a failed attempt go on pausing.
+void entry::release(const group_id& group, bool all, instant now, action_list& out) {
+    const auto waiting = m_waiting.find(group);
+    if (waiting == m_waiting.end()) {
+        return;
+    }
+    const std::vector<std::uint64_t> serials{waiting->second.begin(), waiting->second.end()};
+    for (const std::uint64_t serial : serials) {
+        pending& p = m_pending.at(serial);
+        const bool wants_view = p.waits_for == reason::no_primary ||
+                                p.waits_for == reason::session_term_unknown ||
+                                p.waits_for == reason::no_endpoint_fresh_enough;
+        if (all || wants_view) {
+            plan(p, now, out);
+        }
+    }
+}
+
+// ---- Answers ---------------------------------------------------------------------------------
+
+entry::pending* entry::find_call(std::uint64_t call) {
+    const auto found = m_calls.find(call);
+    return found == m_calls.end() ? nullptr : &m_pending.at(found->second);
+}
+
+void entry::on_reply(const host_id& from, statement_reply reply, instant now, action_list& out) {
+    pending* p = reply.id.module == call_module::entry ? find_call(reply.id.number) : nullptr;
+    if (p == nullptr) {
+        out.emplace_back(count{"dropped_reply", "late"});
+        return;
+    }
+    const bool matches = p->attempt->owner == from && p->attempt->endpoint == reply.endpoint;
+    if (!check(promise::answer_integrity, matches)) {
+        out.emplace_back(count{"dropped_reply", "mismatch"});
+        return;
+    }
+    learn(*p, reply, now, out);
+    end_attempt(*p);
+    if (std::holds_alternative<done>(reply.result)) {
+        on_done(*p, std::move(reply), now, out);
+    } else {
+        on_failure(*p, std::move(reply.result), now, out);
+    }
+}
+
+void entry::learn(const pending& p, const statement_reply& reply, instant now, action_list& out) {
+    const entry_attempt& attempt = *p.attempt;
+    if (std::holds_alternative<done>(reply.result)) {
+        m_router.on_answer(attempt.endpoint, now - attempt.sent, now);
+    } else if (shows_trouble(reply.result)) {
+        m_router.on_error(attempt.endpoint, now);
+    } else {
+        m_router.on_dropped(attempt.endpoint);
+    }
+    if (reply.view) {
+        m_groups.on_view(p.request.group, *reply.view, now, out);
+    }
+    if (!reply.stamp) {
+        return;
+    }
+    // Only an answer whose term was confirmed shows that the primary was not superseded.
+    const bool confirmed =
+        std::holds_alternative<done>(reply.result) && (attempt.confirm || makes_write(p));
+    if (confirmed && reply.stamp->term >= m_groups.view(p.request.group).term) {
+        m_marks.record(p.request.group, *reply.stamp, attempt.sent);
+    }
+    m_router.on_stamp(attempt.endpoint, *reply.stamp, attempt.sent, now);
+    m_groups.on_stamp(attempt.endpoint, *reply.stamp, now, out);
+}
+
+void entry::on_done(pending& p, statement_reply reply, instant now, action_list& out) {
+    if (!reply.stamp && p.request.kind != request_kind::rollback) {
+        on_failure(p, unknown_outcome{reason::answer_mismatch, "no stamp"}, now, out);
+        return;
+    }
+    switch (p.request.kind) {
+        case request_kind::begin:
+            on_begin_done(p, std::move(reply), now, out);
+            return;
+        case request_kind::execute:
+            on_execute_done(p, std::move(reply), now, out);
+            return;
+        case request_kind::rollback:
+            finish(p, std::move(reply.result), out, reply.endpoint, p.request.transaction);
+            return;
+        case request_kind::commit:
+            on_write_done(p, std::move(reply), now, out);
+            return;
+        case request_kind::statement:
+            is_read(p) ? on_read_done(p, std::move(reply), now, out)
+                       : on_write_done(p, std::move(reply), now, out);
+            return;
+    }
+}
+
+void entry::on_read_done(pending& p, statement_reply reply, instant now, action_list& out) {
+    const position_stamp& stamp = *reply.stamp;
+    if (const auto fault = session_fault(p, stamp, now)) {
+        on_stale(p, *fault, now, out);
+        return;
+    }
+    if (!is_fresh_enough(p, stamp, now)) {
+        on_stale(p, reason::stale_answer, now, out);
+        return;
+    }
+    const session_entry* written = p.session.find(p.request.group);
+    const bool sees_writes =
+        written == nullptr ||
+        satisfies(stamp, *written, m_groups.terms(p.request.group)) == satisfaction::satisfied;
+    if (!check(promise::read_your_writes, sees_writes) && m_context.enabled.token_check) {
+        finish(p, not_run{reason::invariant_broken, ""}, out);
+        return;
+    }
+    if (stamp.role == endpoint_role::replica) {
+        out.emplace_back(count{"replica_reads", ""});
+    }
+    finish(p, std::move(reply.result), out, reply.endpoint);
+}
+
+bool entry::is_fresh_enough(const pending& p, const position_stamp& stamp, instant now) const {
+    const bool is_confirmed_primary = p.last->confirm && stamp.role == endpoint_role::primary &&
+                                      stamp.term >= m_groups.view(p.request.group).term;
+    if (is_confirmed_primary) {
+        return true;
+    }
+    const auto age = m_marks.proven_age(p.request.group, stamp, now);
+    return p.max_age > duration{} && age && *age <= p.max_age;
+}
+
+/// Why the stamp does not satisfy the session. With `accept_loss` a lost entry leaves the token.
+std::optional<reason> entry::session_fault(pending& p, const position_stamp& stamp,
+                                           instant now) const {
+    const session_entry* written = p.session.find(p.request.group);
+    if (!m_context.enabled.token_check || written == nullptr) {
+        return std::nullopt;
+    }
+    const term_history& terms = m_groups.terms(p.request.group);
+    const satisfaction result = satisfies(stamp, *written, terms);
+    if (result == satisfaction::satisfied) {
+        return std::nullopt;
+    }
+    if (result == satisfaction::behind) {
+        return reason::stale_answer;
+    }
+    // A history that is out of date is usually renewed by the next report.
+    const bool is_final =
+        knows_term_after(terms, written->term) || now - p.trace.at >= history_wait;
+    if (p.request.accept_loss && is_final) {
+        p.session.erase(p.request.group);
+        note(p, "session entry dropped: loss accepted");
+        return std::nullopt;
+    }
+    return result == satisfaction::position_lost ? reason::session_position_lost
+                                                 : reason::session_term_unknown;
+}
+
+void entry::on_stale(pending& p, reason why, instant now, action_list& out) {
+    const session_entry* written = p.session.find(p.request.group);
+    const bool is_final = why != reason::stale_answer && written != nullptr &&
+                          knows_term_after(m_groups.terms(p.request.group), written->term);
+    if (is_final) {
+        finish(p, not_run{why, ""}, out);
+        return;
+    }
+    // The next attempt relies on known states only, so one stale answer costs one extra call.
+    const bool is_first = p.expect;
+    p.expect = false;
+    p.avoid_last = true;
+    p.retried_for = reason::stale_answer;
+    p.failure = not_run{why, ""};
+    p.budget = is_first ? budget_rule::exempt : budget_rule::refuse;
+    const bool from_primary = p.last->endpoint == m_groups.view(p.request.group).primary;
+    if (why == reason::session_term_unknown) {
+        wait_for_view(p, why, now, out);
+    } else if (from_primary) {
+        wait_for_view(p, reason::no_endpoint_fresh_enough, now, out);
+    } else {
+        plan(p, now, out);
+    }
+}
+
+void entry::on_write_done(pending& p, statement_reply reply, instant now, action_list& out) {
+    const position_stamp& stamp = *reply.stamp;
+    if (!p.session.set({p.request.group, stamp.log_term, stamp.position})) {
+        on_failure(p, unknown_outcome{reason::session_full, ""}, now, out);
+        return;
+    }
+    finish(p, std::move(reply.result), out, reply.endpoint, p.request.transaction);
+}
+
+void entry::on_begin_done(pending& p, statement_reply reply, instant now, action_list& out) {
+    if (const auto fault = session_fault(p, *reply.stamp, now)) {
+        abandon_transaction(p, reply, out);
+        on_stale(p, *fault, now, out);
+        return;
+    }
+    std::string handle =
+        m_tokens.encode(transaction_handle{reply.transaction, reply.endpoint, p.request.group});
+    if (handle.empty()) {
+        abandon_transaction(p, reply, out);
+        finish(p, not_run{reason::bad_request, "a name is too long for a handle"}, out);
+        return;
+    }
+    finish(p, std::move(reply.result), out, reply.endpoint, std::move(handle));
+}
+
+void entry::on_execute_done(pending& p, statement_reply reply, instant now, action_list& out) {
+    // The statement ran, and no other endpoint can run it.
+    if (const auto fault = session_fault(p, *reply.stamp, now)) {
+        finish(p, unknown_outcome{*fault, ""}, out);
+        return;
+    }
+    finish(p, std::move(reply.result), out, reply.endpoint, p.request.transaction);
+}
+
+/// Frees the connection of a transaction that the caller never gets to know. Its answer is dropped.
+void entry::abandon_transaction(const pending& p, const statement_reply& reply, action_list& out) {
+    statement_call call;
+    call.id = {call_module::entry, m_next_call++};
+    call.endpoint = reply.endpoint;
+    call.kind = request_kind::rollback;
+    call.service = p.request.service;
+    call.group = p.request.group;
+    call.remaining = p.request.timeout;
+    call.transaction = reply.transaction;
+    out.emplace_back(send_peer{p.last->owner, std::move(call)});
+}
+
+void entry::on_failure(pending& p, outcome result, instant now, action_list& out) {
+    const reason why = reason_of(result);
+    if (std::holds_alternative<unknown_outcome>(result) && !p.unknown) {
+        p.unknown = why;
+    }
+    const bool link_failed = why == reason::peer_unreachable || why == reason::peer_lost;
+    // An open transaction exists at one place only; other failures than the link's are final.
+    const bool has_place_to_go = !p.handle || link_failed;
+    if (!has_place_to_go ||
+        !may_retry(result, is_harmless(p), p.request.idempotent, m_context.enabled.retry_guard)) {
+        finish(p, std::move(result), out);
+        return;
+    }
+    const bool did_not_run = std::holds_alternative<not_run>(result);
+    p.budget = did_not_run && is_transient(why) ? budget_rule::wait : budget_rule::refuse;
+    p.retried_for = why;
+    p.failure = std::move(result);
+    p.avoid_last = is_read(p);
+    const group_view& view = m_groups.view(p.request.group);
+    const bool view_changed = !view.primary.empty() && view.term > p.last->term;
+    if (view_changed && !p.handle) {
+        plan(p, now, out);
+        return;
+    }
+    if (did_not_run) {
+        query_group(p.request.group, now, out);
+    }
+    wait(p, why, now + backoff(p.attempts - 1, m_context.random), out);
+}
+
+void entry::end_attempt(pending& p) {
+    m_calls.erase(p.attempt->call);
+    p.last = std::move(p.attempt);
+    p.attempt.reset();
+}
+
+void entry::on_peer_failed(const peer_failed& failure, instant now, action_list& out) {
+    std::vector<std::uint64_t> serials;
+    for (const auto& [serial, p] : m_pending) {
+        if (p.attempt && p.attempt->owner == failure.peer) {
+            serials.push_back(serial);
+        }
+    }
+    for (const std::uint64_t serial : serials) {
+        pending& p = m_pending.at(serial);
+        m_router.on_error(p.attempt->endpoint, now);
+        end_attempt(p);
+        on_failure(p, unknown_outcome{reason::peer_lost, ""}, now, out);
+    }
+}
+
+void entry::on_peer_unsent(const peer_unsent& unsent, instant now, action_list& out) {
+    pending* p = unsent.call.module == call_module::entry ? find_call(unsent.call.number) : nullptr;
+    if (p == nullptr || p->attempt->owner != unsent.peer) {
+        return;
+    }
+    m_router.on_error(p->attempt->endpoint, now);
+    end_attempt(*p);
+    on_failure(*p, not_run{reason::peer_unreachable, ""}, now, out);
+}
+
+void entry::on_report(const host_id& from, const group_report& report, instant now,
+                      action_list& out) {
+    const group_view before = m_groups.view(report.group);
+    for (const group_report::owned_state& owned : report.owned) {
+        const endpoint_entry* endpoint = m_context.fleet->endpoint(owned.endpoint);
+        const host_id* owner = m_context.fleet->owner_of(owned.endpoint);
+        if (endpoint != nullptr && endpoint->group == report.group && owner != nullptr &&
+            *owner == from) {
+            m_router.on_stamp(owned.endpoint, owned.stamp, now - owned.age, now - owned.age);
+        }
+    }
+    m_groups.on_view(report.group, report.view, now, out);
+    release(report.group, m_groups.view(report.group) != before, now, out);
+}
+
+// ---- Ends ------------------------------------------------------------------------------------
+
+void entry::tick(instant now, action_list& out) {
+    while (!m_timers.empty() && m_timers.begin()->first <= now) {
+        pending& p = m_pending.at(m_timers.begin()->second);
+        if (now >= p.deadline) {
+            expire(p, now, out);
+        } else {
+            plan(p, now, out);
+        }
+    }
+}
+
+std::optional<instant> entry::next_wakeup() const {
+    return m_timers.empty() ? std::nullopt : std::optional{m_timers.begin()->first};
+}
+
+void entry::expire(pending& p, instant now, action_list& out) {
+    if (p.attempt) {
+        m_router.on_error(p.attempt->endpoint, now);
+        end_attempt(p);
+        finish(p, unknown_outcome{reason::deadline, ""}, out);
+        return;
+    }
+    const reason why = p.waits_for == reason::none ? reason::deadline : p.waits_for;
+    finish(p, not_run{why, "deadline"}, out);
+}
+
+void entry::finish(pending& p, outcome result, action_list& out, const endpoint_id& endpoint,
+                   std::string transaction) {
+    // An earlier attempt may have run, whatever the last one says.
+    if (p.unknown && std::holds_alternative<not_run>(result)) {
+        result = unknown_outcome{*p.unknown, std::get<not_run>(result).detail};
+    }
+    const bool refused = std::holds_alternative<not_run>(result);
+    check(promise::not_run_truth, !refused || (!p.unknown && !p.attempt));
+    const std::string_view why = to_string(reason_of(result));
+    if (std::holds_alternative<done>(result)) {
+        out.emplace_back(count{"done", to_string(p.request.kind)});
+        note(p, "done");
+    } else {
+        out.emplace_back(count{refused ? "not_run" : "unknown", why});
+        note(p, join(refused ? "not run: " : "unknown: ", why));
+    }
+    if (refused) {
+        out.emplace_back(count{"refusal", why});
+    }
+    out.emplace_back(caller_reply{p.request.id, std::move(result),
+                                  p.has_session ? m_tokens.encode(p.session) : std::string{},
+                                  std::move(transaction), endpoint});
+    if (m_traces.size() == traces_kept) {
+        m_traces.pop_front();
+    }
+    m_traces.push_back(std::move(p.trace));
+    stop_waiting(p);
+    m_timers.erase({p.timer, p.serial});
+    m_pending.erase(p.serial);
+}
+
+bool entry::check(promise which, bool holds) {
+    return m_context.checks == nullptr ? holds : m_context.checks->check(which, holds);
+}
+
+void entry::set_timer(pending& p, instant at) {
+    m_timers.erase({p.timer, p.serial});
+    p.timer = at;
+    m_timers.insert({at, p.serial});
+}
+
+void entry::note(pending& p, std::string step) {
+    p.trace.steps.push_back(std::move(step));
+}
+
+std::vector<entry::trace> entry::explain(std::uint64_t session) const {
+    std::vector<trace> found;
+    for (const trace& each : m_traces) {
+        if (each.session == session) {
+            found.push_back(each);
+        }
+    }
+    for (const auto& [serial, p] : m_pending) {
+        if (p.trace.session == session) {
+            found.push_back(p.trace);
+        }
+    }
+    return found;
+}
+
+}  // namespace jasminelead
--- /dev/null
+++ b/src/router.cc
@@ -0,0 +1,407 @@
+#include "jasminelead/router.h"
+
+#include <array>
+#include <cmath>
+
+namespace jasminelead {
+namespace {
+
+using namespace literals;
+using detail::endpoint_record;
+using detail::routing_policy;
+
+constexpr std::array<routing_policy, 2> policies = {{{"default", true}, {"primary_only", false}}};
+
+constexpr duration longest_wait = 20_ms;
+constexpr std::int64_t wait_share = 4;  // At most a quarter of the remaining time.
+// A known state older than this says little; one read finds out the present one.
+constexpr duration state_expiry = 500_ms;
+constexpr duration health_step = 100_ms;
+constexpr double health_missing_kept = 0.9;  // Recovers 10% of the missing part in each step.
+constexpr double health_on_error = 0.5;
+constexpr duration health_full_after = 10_s;
+constexpr double lag_return_share = 0.5;
+constexpr double moving_average_weight = 0.2;
+constexpr duration assumed_latency = 1_ms;
+// An answer is late when it takes four times the average and a multiple of a usual round trip.
+constexpr std::int64_t late_factor = 4;
+constexpr duration late_floor = 20_ms;
+constexpr double other_data_centre_penalty = 1.25;
+// Replicas serve reads while a mark is renewed, so it is renewed before it is too old to use.
+constexpr double refresh_share = 0.75;
+constexpr duration shortest_refresh = 10_ms;
+constexpr std::size_t max_candidates = 16;
+
+const routing_policy* find_policy(std::string_view name) {
+    for (const routing_policy& policy : policies) {
+        if (policy.name == name) {
+            return &policy;
+        }
+    }
+    return nullptr;
+}
+
+double present_health(const endpoint_record& record, instant now) {
+    if (record.health >= 1) {
+        return 1;
+    }
+    const duration elapsed = now - record.health_at;
+    if (elapsed > health_full_after) {
+        return 1;
+    }
+    const double steps = std::max(elapsed.ms(), 0.0) / health_step.ms();
+    return 1 - (1 - record.health) * std::pow(health_missing_kept, steps);
+}
+
+void halve_health(endpoint_record& record, instant now) {
+    record.health = present_health(record, now) * health_on_error;
+    record.health_at = now;
+}
+
+bool is_likely_fresh(const endpoint_record& record, const read_requirements& read,
+                     const group_marks& marks, instant now) {
+    const auto age = marks.expected_age(record.lag, now);
+    return age && *age <= read.max_age;
+}
+
+bool is_likely_applied(const endpoint_record& record, const read_requirements& read,
+                       std::optional<instant> written, instant now) {
+    if (read.session == nullptr) {
+        return true;
+    }
+    // A lost position is found out from the answer, at whichever endpoint.
+    if (record.stamp &&
+        satisfies(*record.stamp, *read.session, read.terms) != satisfaction::behind) {
+        return true;
+    }
+    return read.expect && written && *written + record.lag <= now;
+}
+
+/// Latest time at which the primary can have reached the session's position.
+std::optional<instant> written_by(const read_requirements& read, const group_marks& marks,
+                                  const group_marks& seen) {
+    if (read.session == nullptr) {
+        return std::nullopt;
+    }
+    const auto marked = marks.reached_at(read.session->term, read.session->position);
+    const auto heard = seen.reached_at(read.session->term, read.session->position);
+    return marked && heard ? std::min(*marked, *heard) : (marked ? marked : heard);
+}
+
+void record_seen(group_marks& seen, term_number term, log_position position, instant now) {
+    const freshness_mark* newest = seen.newest();
+    const bool is_new = newest == nullptr || term > newest->log_term ||
+                        (term == newest->log_term && position > newest->position);
+    if (is_new) {
+        seen.record({term, term, position, endpoint_role::primary}, now);
+    }
+}
+
+bool is_avoided(const read_requirements& read, const endpoint_id& endpoint) {
+    return read.avoid != nullptr && *read.avoid == endpoint;
+}
+
+/// Age at which the newest mark needs to be renewed.
+duration refresh_age(const read_requirements& read) {
+    return read.max_age * refresh_share;
+}
+
+struct candidate {
+    std::size_t index = 0;
+    double weight = 0;
+};
+
+std::size_t draw(std::span<const candidate> candidates, double total, std::mt19937_64& random) {
+    constexpr double unit = 1.0 / static_cast<double>(std::mt19937_64::max());
+    double left = static_cast<double>(random()) * unit * total;
+    for (std::size_t i = 0; i + 1 < candidates.size(); ++i) {
+        left -= candidates[i].weight;
+        if (left < 0) {
+            return i;
+        }
+    }
+    return candidates.size() - 1;
+}
+
+double load_score(const endpoint_record& record, double weight, bool local) {
+    const duration latency = record.latency > duration{} ? record.latency : assumed_latency;
+    const double score = (record.in_flight + 1.0) * latency.ms() / weight;
+    return local ? score : score * other_data_centre_penalty;
+}
+
+}  // namespace
+
+std::string_view to_string(route_cause cause) {
+    constexpr std::array<std::string_view, 5> names = {"replica", "old_state", "mark_refresh",
+                                                       "primary_required", "no_replica"};
+    return names.at(static_cast<std::size_t>(cause));
+}
+
+router::router(const core_context& context, freshness& marks, std::string_view policy)
+    : m_context{context}, m_marks{marks}, m_policy{find_policy(policy)} {
+    if (m_policy == nullptr) {
+        m_policy = policies.data();
+    }
+}
+
+bool router::has_policy(std::string_view name) {
+    return find_policy(name) != nullptr;
+}
+
+router::group_plan& router::plan(const group_id& group) {
+    if (m_fleet != m_context.fleet || m_config != m_context.config) {
+        m_fleet = m_context.fleet;
+        m_config = m_context.config;
+        ++m_generation;
+    }
+    group_plan& found = m_plans[group];
+    if (found.generation != m_generation) {
+        rebuild(found, group);
+    }
+    return found;
+}
+
+void router::rebuild(group_plan& plan, const group_id& group) {
+    plan.generation = m_generation;
+    plan.members.clear();
+    plan.marks = &m_marks.marks(group);
+    plan.max_age = group_row{}.max_age;
+    if (m_config != nullptr) {
+        const auto row = m_config->groups.find(group);
+        plan.max_age = row == m_config->groups.end() ? plan.max_age : row->second.max_age;
+    }
+    for (const endpoint_entry& entry : m_fleet->endpoints_of(group)) {
+        endpoint_row settings;
+        if (m_config != nullptr) {
+            const auto row = m_config->endpoints.find(entry.id);
+            settings = row == m_config->endpoints.end() ? settings : row->second;
+        }
+        plan.members.push_back({&entry, &m_records[entry.id],
+                                static_cast<double>(settings.read_weight),
+                                entry.data_centre == m_context.data_centre});
+    }
+}
+
+route router::choose(const read_requirements& read, instant now, std::mt19937_64& random) {
+    group_plan& group = plan(read.group);
+    if (read.max_age <= duration{} || !m_policy->use_replicas) {
+        return choose_primary(read, group, route_cause::primary_required, now);
+    }
+    if (read.session != nullptr) {
+        record_seen(group.seen, read.session->term, read.session->position, now);
+    }
+    if (needs_mark_refresh(read, group, now)) {
+        group.refreshed = now;
+        return choose_primary(read, group, route_cause::mark_refresh, now);
+    }
+    if (const member* replica = choose_replica(read, group, now, random); replica != nullptr) {
+        return route_choice{replica->entry, route_cause::replica, false};
+    }
+    if (const member* replica = choose_unknown(read, group, now); replica != nullptr) {
+        replica->record->explored = now;
+        return route_choice{replica->entry, route_cause::old_state, false};
+    }
+    if (read.may_wait && read.expect) {
+        const auto wait = catch_up_time(read, now);
+        if (wait && *wait <= std::min(longest_wait, read.remaining / wait_share)) {
+            return route_wait{now + *wait};
+        }
+    }
+    return choose_primary(read, group, route_cause::no_replica, now);
+}
+
+route router::choose_primary(const read_requirements& read, const group_plan& plan,
+                             route_cause cause, instant now) const {
+    for (const member& each : plan.members) {
+        if (each.entry->id != read.view.primary) {
+            continue;
+        }
+        // An answer of a primary that was superseded unnoticed has no bound on its age. Without a
+        // recent mark the term is therefore confirmed, which also makes a new mark.
+        const auto age = plan.marks->expected_age({}, now);
+        const bool proven = read.max_age > duration{} && age && *age <= refresh_age(read);
+        return route_choice{each.entry, cause, !proven};
+    }
+    return cause == route_cause::primary_required ? reason::no_primary
+                                                  : reason::no_endpoint_fresh_enough;
+}
+
+bool router::needs_mark_refresh(const read_requirements& read, group_plan& plan,
+                                instant now) const {
+    const auto age = plan.marks->expected_age({}, now);
+    if (age && *age <= refresh_age(read)) {
+        return false;
+    }
+    // One read renews the mark for all others, and a primary that does not answer must not hold
+    // more than that.
+    const bool sent_lately =
+        plan.refreshed && now - *plan.refreshed < std::max(read.max_age / 4, shortest_refresh);
+    if (sent_lately || is_avoided(read, read.view.primary)) {
+        return false;
+    }
+    for (const member& each : plan.members) {
+        if (each.entry->id == read.view.primary) {
+            return present_health(*each.record, now) > health_on_error;
+        }
+    }
+    return false;
+}
+
+const router::member* router::choose_replica(const read_requirements& read, group_plan& plan,
+                                             instant now, std::mt19937_64& random) const {
+    const auto written = written_by(read, *plan.marks, plan.seen);
+    std::array<candidate, max_candidates> candidates;
+    std::size_t size = 0;
+    double total = 0;
+    for (std::size_t i = 0; i < plan.members.size() && size < max_candidates; ++i) {
+        const member& each = plan.members[i];
+        const bool usable = each.weight > 0 && each.entry->state == member_state::live &&
+                            each.entry->id != read.view.primary && !each.record->lagging &&
+                            !is_avoided(read, each.entry->id);
+        if (usable && is_likely_fresh(*each.record, read, *plan.marks, now) &&
+            is_likely_applied(*each.record, read, written, now)) {
+            const double weight = each.weight * present_health(*each.record, now);
+            candidates.at(size++) = {i, weight};
+            total += weight;
+        }
+    }
+    if (size == 0) {
+        return nullptr;
+    }
+    // Drawing with replacement gives the endpoint with the worse score a share too, so that its
+    // score stays known and the weights still count when the endpoints are idle.
+    const std::span<const candidate> drawn = std::span{candidates}.first(size);
+    const candidate& first = drawn[draw(drawn, total, random)];
+    const candidate& second = drawn[draw(drawn, total, random)];
+    const member& a = plan.members[first.index];
+    const member& b = plan.members[second.index];
+    const bool prefer_second = load_score(*b.record, second.weight, b.local) <
+                               load_score(*a.record, first.weight, a.local);
+    return prefer_second ? &b : &a;
+}
+
+const router::member* router::choose_unknown(const read_requirements& read, group_plan& plan,
+                                             instant now) const {
+    if (!read.expect) {
+        return nullptr;
+    }
+    const auto newest = plan.marks->expected_age({}, now);
+    if (!newest || *newest > read.max_age) {
+        return nullptr;
+    }
+    for (const member& each : plan.members) {
+        const endpoint_record& record = *each.record;
+        const bool usable = each.weight > 0 && each.entry->state == member_state::live &&
+                            each.entry->id != read.view.primary &&
+                            !is_avoided(read, each.entry->id);
+        const bool known = record.stamp && now - record.stamped < state_expiry;
+        const bool tried = record.explored && now - *record.explored < state_expiry;
+        if (usable && !known && !tried) {
+            return &each;
+        }
+    }
+    return nullptr;
+}
+
+std::optional<duration> router::catch_up_time(const read_requirements& read, instant now) {
+    if (read.session == nullptr) {
+        return std::nullopt;
+    }
+    group_plan& group = plan(read.group);
+    const auto written = written_by(read, *group.marks, group.seen);
+    std::optional<duration> shortest;
+    for (const member& each : group.members) {
+        const endpoint_record& record = *each.record;
+        const bool usable = each.weight > 0 && each.entry->state == member_state::live &&
+                            each.entry->id != read.view.primary && !record.lagging &&
+                            !is_avoided(read, each.entry->id) &&
+                            is_likely_fresh(record, read, *group.marks, now);
+        if (!usable) {
+            continue;
+        }
+        std::optional<duration> estimate;
+        if (written) {
+            estimate = *written + record.lag - now;
+        } else if (record.stamp && record.apply_rate > 0 &&
+                   record.stamp->log_term == read.session->term) {
+            const auto missing =
+                static_cast<double>(read.session->position - record.stamp->position);
+            estimate = record.stamped + duration::from_ms(missing / record.apply_rate) - now;
+        }
+        if (estimate) {
+            estimate = std::max(*estimate, duration{});
+            shortest = shortest ? std::min(*shortest, *estimate) : estimate;
+        }
+    }
+    return shortest;
+}
+
+void router::on_sent(const endpoint_id& endpoint) {
+    ++m_records[endpoint].in_flight;
+}
+
+void router::on_dropped(const endpoint_id& endpoint) {
+    endpoint_record& record = m_records[endpoint];
+    record.in_flight -= record.in_flight > 0 ? 1 : 0;
+}
+
+void router::on_answer(const endpoint_id& endpoint, duration latency, instant now) {
+    on_dropped(endpoint);
+    endpoint_record& record = m_records[endpoint];
+    if (record.latency == duration{}) {
+        record.latency = latency;
+        return;
+    }
+    if (latency > std::max(record.latency * late_factor, late_floor)) {
+        halve_health(record, now);
+    }
+    record.latency = record.latency + (latency - record.latency) * moving_average_weight;
+}
+
+void router::on_error(const endpoint_id& endpoint, instant now) {
+    on_dropped(endpoint);
+    halve_health(m_records[endpoint], now);
+}
+
+void router::on_stamp(const endpoint_id& endpoint, const position_stamp& stamp, instant earliest,
+                      instant latest) {
+    const endpoint_entry* entry = m_context.fleet->endpoint(endpoint);
+    endpoint_record& record = m_records[endpoint];
+    if (entry == nullptr || (record.stamp && latest < record.stamped)) {
+        return;
+    }
+    if (record.stamp && record.stamp->log_term == stamp.log_term) {
+        const double elapsed = (latest - record.stamped).ms();
+        if (stamp.position > record.stamp->position && elapsed > 0) {
+            const auto applied = static_cast<double>(stamp.position - record.stamp->position);
+            record.apply_rate += (applied / elapsed - record.apply_rate) * moving_average_weight;
+        }
+    }
+    record.stamp = stamp;
+    record.stamped = latest;
+    group_plan& group = plan(entry->group);
+    if (stamp.role == endpoint_role::primary) {
+        record_seen(group.seen, stamp.log_term, stamp.position, latest);
+        return;
+    }
+    if (const auto range = group.marks->lag(stamp, earliest, latest)) {
+        record.lag = std::clamp(record.lag, range->low, range->high);
+    }
+    if (record.lag > group.max_age) {
+        record.lagging = true;
+    } else if (record.lag <= group.max_age * lag_return_share) {
+        record.lagging = false;
+    }
+}
+
+double router::health(const endpoint_id& endpoint, instant now) const {
+    const auto found = m_records.find(endpoint);
+    return found == m_records.end() ? 1 : present_health(found->second, now);
+}
+
+std::uint32_t router::in_flight(const endpoint_id& endpoint) const {
+    const auto found = m_records.find(endpoint);
+    return found == m_records.end() ? 0 : found->second.in_flight;
+}
+
+}  // namespace jasminelead
