--- a/include/jasminelead/kernel.h
+++ b/include/jasminelead/kernel.h
@@ -82,6 +82,7 @@
     entry m_entry;
     std::unordered_map<request_id, open_request> m_open;
     std::optional<instant> m_started;
+    std::optional<instant> m_flush_until;
     bool m_draining = false;
     bool m_drained = false;
 };
--- a/src/kernel.cc
+++ b/src/kernel.cc
@@ -12,8 +12,11 @@
 /// Messages that a daemon sends to itself within one event. More than this is an endless loop.
 constexpr std::size_t max_local_messages = 100'000;
 
+/// Time that a stopping daemon waits for the store to take its totals.
+constexpr duration flush_limit = duration::from_ms(2000);
+
 core_context make_context(const kernel_options& options, invariants& checks) {
-    core_context context;
+    core_context context{};
     context.self = options.self;
     context.data_centre = options.data_centre;
     context.incarnation = options.incarnation;
@@ -25,13 +28,19 @@
 std::vector<token_key> make_keys(const kernel_options& options) {
     std::vector<token_key> keys;
     for (const auto& [id, secret] : options.token_keys) {
-        keys.push_back({id, secret});
+        token_key key{id, {}};
+        std::copy_n(secret.begin(), std::min(secret.size(), key.secret.size()), key.secret.begin());
+        keys.push_back(key);
     }
     return keys;
 }
 
 }  // namespace
 
+std::unique_ptr<core_kernel> make_kernel(const kernel_options& options) {
+    return std::make_unique<kernel>(options);
+}
+
 kernel::kernel(const kernel_options& options)
     : m_checks{options.strict_invariants},
       m_context{make_context(options, m_checks)},
@@ -259,10 +268,15 @@
     if (!m_draining || m_drained || m_entry.in_progress() != 0 || !m_owner.drained()) {
         return;
     }
-    m_drained = true;
-    m_checks.check(promise::graceful_shutdown, m_open.empty());
-    m_totals.flush(now, out);
-    out.push_back(drain_finished{});
+    if (!m_flush_until) {
+        m_checks.check(promise::graceful_shutdown, m_open.empty());
+        m_flush_until = now + flush_limit;
+        m_totals.flush(out);
+    }
+    if (m_totals.is_flushed() || *m_flush_until <= now) {
+        m_drained = true;
+        out.push_back(drain_finished{});
+    }
 }
 
 void kernel::record(const caller_reply& reply, instant now) {
@@ -274,7 +288,8 @@
     m_open.erase(found);
     const group_view& view = m_failover.view(request.group);
     const bool replica = !reply.endpoint.empty() && reply.endpoint != view.primary;
-    m_totals.add(request.group, request.service, reply.result, request.read, replica, day(now));
+    m_totals.add(request.group, request.service, kind_of(reply.result), request.read, replica,
+                 day(now));
 }
 
 std::string kernel::day(instant now) const {
@@ -291,10 +306,11 @@
 }
 
 std::optional<instant> kernel::next_wakeup() const {
-    const std::array wakeups = {m_membership.next_wakeup(), m_table.next_wakeup(),
-                                m_failover.next_wakeup(),   m_acknowledger.next_wakeup(),
-                                m_owner.next_wakeup(),      m_entry.next_wakeup(),
-                                m_totals.next_wakeup()};
+    const std::array wakeups = {
+        m_membership.next_wakeup(), m_table.next_wakeup(),
+        m_failover.next_wakeup(),   m_acknowledger.next_wakeup(),
+        m_owner.next_wakeup(),      m_entry.next_wakeup(),
+        m_totals.next_wakeup(),     m_drained ? std::nullopt : m_flush_until};
     std::optional<instant> earliest;
     for (const auto& wakeup : wakeups) {
         if (wakeup && (!earliest || *wakeup < *earliest)) {
--- a/src/kernel_status.cc
+++ b/src/kernel_status.cc
@@ -85,7 +85,7 @@
     if (!token) {
         return R"({"error":"bad_token"})";
     }
-    for (const entry::trace& trace : m_entry.explain(token->id)) {
+    for (const entry::trace& trace : m_entry.explain(token->id())) {
         json::array steps(trace.steps.begin(), trace.steps.end());
         rows.push_back(json::object{{"at_ms", trace.at.ms()},
                                     {"group", trace.group.str()},
--- a/support/fleet.cc
+++ b/support/fleet.cc
@@ -18,7 +18,7 @@
 
 constexpr std::size_t groups = 3;
 constexpr std::size_t data_centres = 3;
-constexpr std::size_t daemons = 6;
+constexpr std::size_t daemon_count = 6;
 constexpr int first_port = 21400;
 constexpr int ready_attempts = 200;
 constexpr std::chrono::milliseconds ready_interval{100};
@@ -57,7 +57,7 @@
             m_endpoint_addresses[endpoint_name(g, d)] = address(port++);
         }
     }
-    for (std::size_t i = 0; i < daemons; ++i) {
+    for (std::size_t i = 0; i < daemon_count; ++i) {
         m_daemon_addresses.push_back(address(port++));
     }
 }
@@ -75,7 +75,7 @@
     if (ctl({"table", "import", m_work + "/table.csv", "--operator", "demo"}) != 0) {
         throw std::runtime_error("cannot import the table, see ctl.log");
     }
-    for (std::size_t i = 0; i < daemons; ++i) {
+    for (std::size_t i = 0; i < daemon_count; ++i) {
         write_daemon_settings(i);
         start_daemon(i);
     }
@@ -135,7 +135,7 @@
 
 void fleet::write_host_list() const {
     json::array hosts;
-    for (std::size_t i = 0; i < daemons; ++i) {
+    for (std::size_t i = 0; i < daemon_count; ++i) {
         hosts.push_back(json::object{{"id", "host-" + std::to_string(i + 1)},
                                      {"data_centre", data_centre_name(i)},
                                      {"address", m_daemon_addresses[i]},
@@ -183,7 +183,7 @@
 
 void fleet::wait_ready() const {
     std::size_t ready = 0;
-    for (int i = 0; i < ready_attempts && ready < daemons; ++i) {
+    for (int i = 0; i < ready_attempts && ready < daemon_count; ++i) {
         std::this_thread::sleep_for(ready_interval);
         ready = 0;
         for (const std::string& daemon : m_daemon_addresses) {
@@ -191,7 +191,7 @@
             ready += reply && reply->status == boost::beast::http::status::ok ? 1 : 0;
         }
     }
-    if (ready < daemons) {
+    if (ready < daemon_count) {
         throw std::runtime_error("only " + std::to_string(ready) + " daemons are ready");
     }
 }
--- a/support/testbed.cc
+++ b/support/testbed.cc
@@ -17,7 +17,7 @@
 constexpr duration link_silence = 2_s;
 constexpr duration connect_timeout = 200_ms;
 constexpr duration replication_interval = 2_ms;
-constexpr std::size_t replication_batch = 256;
+constexpr std::size_t max_records_per_pull = 256;
 constexpr std::size_t data_centres = 3;
 constexpr std::int64_t wall_clock_start_ms = 1'700'000'000'000;
 
@@ -392,11 +392,11 @@
         if (client.life != life || !client.core) {
             return;
         }
-        // Connection numbers are unique in a daemon only.
-        const auto error = endpoint.up ? endpoint.model->connect(open.connection, open.epoch)
+        const connection_id key = connection_key(client, open.connection);
+        const auto error = endpoint.up ? endpoint.model->connect(key, open.epoch)
                                        : std::optional{endpoint_error::refused};
         if (!error) {
-            endpoint.clients[open.connection] = id;
+            endpoint.clients[key] = {id, life, open.connection};
         }
         const position_stamp stamp = endpoint.model->stamp();
         schedule(one_way, [this, id, life, open, error, stamp] {
@@ -516,11 +516,14 @@
             ++it;
             continue;
         }
-        const host_id client = it->second;
-        const connection_lost lost{target.entry.id, it->first, endpoint_error::reset};
-        const duration one_way = latency(node(client).entry.data_centre, target.entry.data_centre);
-        schedule(one_way,
-                 [this, client, life = node(client).life, lost] { deliver(client, life, lost); });
+        const auto client = it->second;
+        const connection_lost lost{target.entry.id, client.connection, endpoint_error::reset};
+        const data_centre_id& place = node(client.host).entry.data_centre;
+        // A reset does not cross a partition: the connection is silent for its owner.
+        if (reachable(place, target.entry.data_centre)) {
+            schedule(latency(place, target.entry.data_centre),
+                     [this, client, lost] { deliver(client.host, client.life, lost); });
+        }
         it = target.clients.erase(it);
     }
 }
@@ -538,7 +541,7 @@
         !reachable(source.entry.data_centre, replica.entry.data_centre)) {
         return;
     }
-    const auto batch = source.model->records_for(*replica.model, replication_batch);
+    const auto batch = source.model->records_for(*replica.model, max_records_per_pull);
     if (!batch) {
         return;
     }
