Add failover and acknowledgement of writes

Promotion fences a majority at a higher term, chooses the most complete log among the fence answers, promotes it and tells the others to follow. A write is confirmed by a majority that answers a status call sent after the execution. Policies register themselves by name.

'a leaving primary is switched away' fails because a write in flight can reach the old primary between the last poll and the fence, so that the old primary is chosen again.

--- /dev/null
+++ b/src/failover.cc
@@ -0,0 +1,653 @@
+#include "jasminelead/failover.h"
+
+#include <algorithm>
+#include <stdexcept>
+#include <utility>
+
+#include "jasminelead/registry.h"
+
+namespace jasminelead {
+namespace {
+
+using namespace failover_timing;
+using detail::call_purpose;
+using detail::group_activity;
+
+/// Promotes as soon as the primary is found to be lost: the fence keeps this safe.
+class fencing_policy final : public failover_policy {
+public:
+    [[nodiscard]] instant earliest_promotion(instant last_alive) const override {
+        return last_alive;
+    }
+};
+
+/// Waits out a lease, as a design without fences would have to.
+class lease_policy final : public failover_policy {
+public:
+    [[nodiscard]] instant earliest_promotion(instant last_alive) const override {
+        return last_alive + promotion_lease;
+    }
+};
+
+template <class Policy>
+std::unique_ptr<failover_policy> make_policy() {
+    return std::make_unique<Policy>();
+}
+
+const policy_registry<failover_policy>::entry default_entry{"default",
+                                                            &make_policy<fencing_policy>};
+const policy_registry<failover_policy>::entry lease_entry{"lease_only", &make_policy<lease_policy>};
+
+term_number last_term(const term_history& terms) {
+    return terms.size() == 0 ? 0 : (terms.end() - 1)->term;
+}
+
+std::optional<log_position> start_of(const term_history& terms, term_number term) {
+    for (const term_start& start : terms) {
+        if (start.term == term) {
+            return start.position;
+        }
+    }
+    return std::nullopt;
+}
+
+void earlier(std::optional<instant>& due, instant at) {
+    due = due ? std::min(*due, at) : at;
+}
+
+}  // namespace
+
+term_number complete_term(const endpoint_state& state) {
+    // An instance that copied the whole start of a term holds all that earlier terms acknowledged,
+    // even when no record of the new term has reached it. The log term alone would rank it below
+    // an instance with a record that a superseded primary never got confirmed.
+    term_number term = state.stamp.log_term;
+    for (const term_start& start : state.terms) {
+        if (state.stamp.position >= start.position) {
+            term = std::max(term, start.term);
+        }
+    }
+    return term;
+}
+
+failover::failover(core_context& context, std::string_view policy)
+    : m_context{context}, m_policy{policy_registry<failover_policy>::make(policy)} {
+    if (m_policy == nullptr) {
+        throw std::invalid_argument{"unknown failover policy: " + std::string{policy}};
+    }
+}
+
+// ---- Look-up -----------------------------------------------------------------------------------
+
+const failover::group* failover::find(const group_id& id) const {
+    const auto found = m_groups.find(id);
+    return found == m_groups.end() ? nullptr : &found->second;
+}
+
+failover::group* failover::find(const group_id& id) {
+    const auto found = m_groups.find(id);
+    return found == m_groups.end() ? nullptr : &found->second;
+}
+
+std::optional<failover::place> failover::find(const endpoint_id& id) const {
+    const auto found = m_endpoints.find(id);
+    return found == m_endpoints.end() ? std::nullopt : std::optional{found->second};
+}
+
+const group_view& failover::view(const group_id& id) const {
+    static const group_view unknown;
+    const group* g = find(id);
+    return g == nullptr ? unknown : g->view;
+}
+
+const term_history& failover::terms(const group_id& id) const {
+    static const term_history unknown;
+    const group* g = find(id);
+    return g == nullptr ? unknown : g->terms;
+}
+
+term_number failover::highest_term(const group_id& id) const {
+    const group* g = find(id);
+    return g == nullptr ? 0 : g->highest_term;
+}
+
+bool failover::writes_held(const group_id& id) const {
+    const group* g = find(id);
+    return g != nullptr && g->active && (g->activity != group_activity::idle || g->probing);
+}
+
+std::optional<position_stamp> failover::last_stamp(const endpoint_id& id) const {
+    const auto at = find(id);
+    return at ? at->in->instances[at->index].stamp : std::nullopt;
+}
+
+std::vector<group_id> failover::take_changed() {
+    std::vector<group_id> changed;
+    for (auto& [id, g] : m_groups) {
+        if (std::exchange(g.changed, false)) {
+            changed.push_back(id);
+        }
+    }
+    return changed;
+}
+
+// ---- Fleet -------------------------------------------------------------------------------------
+
+void failover::on_fleet_changed(instant now, action_list& out) {
+    std::map<group_id, group> groups;
+    for (const endpoint_entry& endpoint : m_context.fleet->endpoints()) {
+        if (groups.contains(endpoint.group)) {
+            continue;
+        }
+        auto known = m_groups.extract(endpoint.group);
+        if (known) {
+            groups.insert(std::move(known));
+        } else {
+            group& g = groups[endpoint.group];
+            g.id = endpoint.group;
+            g.primary_alive = now;
+        }
+    }
+    m_groups = std::move(groups);
+    m_endpoints.clear();
+    for (auto& [id, g] : m_groups) {
+        reconcile(g, now);
+        for (std::size_t i = 0; i < g.instances.size(); ++i) {
+            m_endpoints.emplace(g.instances[i].id, place{&g, i});
+        }
+        step(g, now, out);
+    }
+}
+
+void failover::reconcile(group& g, instant now) {
+    std::vector<instance> instances;
+    bool same = true;
+    g.active = false;
+    for (const endpoint_entry& endpoint : m_context.fleet->endpoints_of(g.id)) {
+        instance at;
+        const auto known = std::find_if(g.instances.begin(), g.instances.end(),
+                                        [&](const instance& i) { return i.id == endpoint.id; });
+        if (known != g.instances.end()) {
+            at = *known;
+        }
+        same = same && known - g.instances.begin() == static_cast<std::ptrdiff_t>(instances.size());
+        at.id = endpoint.id;
+        const host_id* owner = m_context.fleet->owner_of(endpoint.id);
+        at.owner = owner == nullptr ? host_id{} : *owner;
+        const bool owned = at.owner == m_context.self;
+        if (owned && !at.owned) {
+            at.following = 0;
+            at.next_repair = now;
+        }
+        at.owned = owned;
+        g.active = g.active || owned;
+        instances.push_back(std::move(at));
+    }
+    same = same && instances.size() == g.instances.size();
+    g.instances = std::move(instances);
+    if (!same || !g.active) {
+        // Calls name instances by their index, and a majority counts the present instances.
+        g.calls.clear();
+        g.activity = group_activity::idle;
+        g.probing = false;
+        ++g.round;
+    }
+    find_primary_owner(g, now);
+}
+
+void failover::find_primary_owner(group& g, instant now) {
+    const host_id* owner = m_context.fleet->owner_of(g.view.primary);
+    const host_id found = owner == nullptr ? host_id{} : *owner;
+    if (found == g.primary_owner) {
+        return;
+    }
+    g.primary_owner = found;
+    g.owner_heard = now;
+    g.owner_failed = false;
+    g.next_query = now;
+    g.next_heartbeat = now;
+    g.next_direct = now;
+    g.next_leaving_switch = now;
+    g.probing = false;
+}
+
+bool failover::owns_primary(const group& g) const {
+    return !g.view.primary.empty() && g.primary_owner == m_context.self;
+}
+
+// ---- What is learned ---------------------------------------------------------------------------
+
+void failover::adopt(group& g, const group_view& view, instant now, action_list& out) {
+    g.view = view;
+    g.highest_term = std::max(g.highest_term, view.term);
+    g.changed = true;
+    g.primary_alive = now;
+    g.primary_heard = now;
+    g.leaderless_since.reset();
+    g.owner_heard = now;
+    g.next_leaving_switch = now;
+    g.probing = false;
+    g.owner_failed = false;
+    find_primary_owner(g, now);
+    for (instance& at : g.instances) {
+        at.next_repair = now;
+        at.repair_pause = follow_retry_min;
+    }
+    const bool promoting =
+        g.activity == group_activity::fencing || g.activity == group_activity::promoting;
+    if (!promoting || g.attempt.term <= view.term) {
+        g.activity = group_activity::idle;
+        g.retrying = false;
+        ++g.round;
+    }
+    out.emplace_back(log_state{"group " + g.id.str() + ": primary " + view.primary.str() +
+                               " at term " + std::to_string(view.term)});
+}
+
+/// Makes the owner of an instance that fell out of its group tell it to follow again.
+void failover::mark_lost(instance& at, instant now) {
+    if (at.following != 0) {
+        at.following = 0;
+        at.repair_pause = follow_retry_min;
+        at.next_repair = now;
+    }
+}
+
+void failover::learn_terms(group& g, const term_history& terms) {
+    const term_number known = last_term(g.terms);
+    const term_number other = last_term(terms);
+    if (other > known || (other == known && terms.size() > g.terms.size())) {
+        g.terms = terms;
+    }
+}
+
+void failover::learn_stamp(group& g, instance& from, const position_stamp& stamp, instant read,
+                           instant now, action_list& out) {
+    if (!from.stamp || read >= from.stamped) {
+        from.stamp = stamp;
+        from.stamped = read;
+    }
+    g.highest_term = std::max(g.highest_term, stamp.term);
+    if (stamp.role != endpoint_role::primary) {
+        return;
+    }
+    if (from.id == g.view.primary && stamp.term == g.view.term) {
+        g.primary_alive = std::max(g.primary_alive, read);
+        return;
+    }
+    // The first view needs a majority of answers: a superseded primary may answer first.
+    if (stamp.term > g.view.term && g.view.term != 0) {
+        adopt(g, {stamp.term, from.id}, now, out);
+    }
+}
+
+void failover::learn(group& g, instance& from, const endpoint_state& state, instant now,
+                     action_list& out) {
+    learn_terms(g, state.terms);
+    learn_stamp(g, from, state.stamp, now, now, out);
+    if (from.id == g.view.primary) {
+        if (state.stamp.term == g.view.term && state.stamp.role == endpoint_role::primary) {
+            g.primary_heard = now;
+        }
+        return;
+    }
+    if (state.stamp.term == g.view.term && state.primary_silence) {
+        g.primary_alive = std::max(g.primary_alive, now - *state.primary_silence);
+    }
+    // A superseded primary, or an instance that missed the follow call after its fence.
+    const bool lost = state.stamp.term < g.view.term ||
+                      (state.stamp.term == g.view.term && last_term(state.terms) < g.view.term);
+    if (state.stamp.term < g.view.term) {
+        mark_lost(from, now);
+    }
+    if (lost && !from.owned && now >= from.next_repair && g.active) {
+        from.next_repair = now + follow_retry_min;
+        send_follow(g, static_cast<std::size_t>(&from - g.instances.data()), now, out);
+    }
+}
+
+void failover::on_stamp(const endpoint_id& endpoint, const position_stamp& stamp, instant now,
+                        action_list& out) {
+    const auto at = find(endpoint);
+    if (!at) {
+        return;
+    }
+    group& g = *at->in;
+    instance& from = g.instances[at->index];
+    const term_number highest = g.highest_term;
+    learn_stamp(g, from, stamp, now, now, out);
+    if (endpoint == g.view.primary) {
+        g.primary_heard = std::max(g.primary_heard, g.primary_alive);
+    } else if (stamp.term < g.view.term) {
+        mark_lost(from, now);
+        step(g, now, out);
+    }
+    if (g.highest_term != highest) {
+        step(g, now, out);
+    }
+}
+
+void failover::on_state(const endpoint_id& endpoint, const endpoint_state& state, instant now,
+                        action_list& out) {
+    if (const auto at = find(endpoint)) {
+        learn(*at->in, at->in->instances[at->index], state, now, out);
+        step(*at->in, now, out);
+    }
+}
+
+void failover::on_view(const group_id& id, const group_view& view, instant now, action_list& out) {
+    group* g = find(id);
+    if (g == nullptr) {
+        return;
+    }
+    g->highest_term = std::max(g->highest_term, view.term);
+    if (view.term > g->view.term && !view.primary.empty()) {
+        adopt(*g, view, now, out);
+    }
+    step(*g, now, out);
+}
+
+// ---- Peers -------------------------------------------------------------------------------------
+
+group_report failover::report_of(const group& g, instant now) const {
+    group_report report{g.id, g.view, {}, g.terms};
+    for (const instance& at : g.instances) {
+        if (at.owned && at.stamp) {
+            report.owned.push_back({at.id, *at.stamp, now - at.stamped});
+        }
+    }
+    return report;
+}
+
+void failover::announce(const group& g, instant now, action_list& out) const {
+    std::vector<host_id> told{m_context.self, host_id{}};
+    for (const instance& at : g.instances) {
+        if (std::find(told.begin(), told.end(), at.owner) == told.end()) {
+            told.push_back(at.owner);
+            out.emplace_back(send_peer{at.owner, report_of(g, now)});
+        }
+    }
+}
+
+void failover::on_query(const host_id& from, const group_query& query, instant now,
+                        action_list& out) {
+    if (const group* g = find(query.group)) {
+        out.emplace_back(send_peer{from, report_of(*g, now)});
+    }
+}
+
+void failover::on_report(const host_id& from, const group_report& report, instant now,
+                         action_list& out) {
+    group* g = find(report.group);
+    if (g == nullptr) {
+        return;
+    }
+    learn_terms(*g, report.terms);
+    for (const group_report::owned_state& state : report.owned) {
+        const auto at = find(state.endpoint);
+        if (at && at->in == g) {
+            const instant read = now - std::max(state.age, duration{});
+            learn_stamp(*g, g->instances[at->index], state.stamp, read, now, out);
+        }
+    }
+    if (from == g->primary_owner) {
+        g->owner_heard = now;
+        g->owner_failed = false;
+    }
+    if (g->active && report.view.term < g->view.term) {
+        out.emplace_back(send_peer{from, report_of(*g, now)});
+    }
+    on_view(report.group, report.view, now, out);
+}
+
+void failover::on_peer_failed(const peer_failed& failure, instant now, action_list& out) {
+    for (auto& [id, g] : m_groups) {
+        if (g.active && g.primary_owner == failure.peer && !g.owner_failed) {
+            g.owner_failed = true;
+            g.next_direct = now;
+            step(g, now, out);
+        }
+    }
+}
+
+void failover::refresh(const group_id& id, instant now, action_list& out) {
+    group* g = find(id);
+    if (g == nullptr || now < g->next_refresh) {
+        return;
+    }
+    g->next_refresh = now + refresh_interval;
+    std::vector<host_id> asked{m_context.self, host_id{}};
+    for (const instance& at : g->instances) {
+        if (std::find(asked.begin(), asked.end(), at.owner) == asked.end()) {
+            asked.push_back(at.owner);
+            out.emplace_back(send_peer{at.owner, group_query{id}});
+        }
+    }
+}
+
+// ---- Control calls -----------------------------------------------------------------------------
+
+void failover::call(group& g, std::size_t index, call_purpose purpose, control_request request,
+                    bool new_connection, instant now, action_list& out) {
+    const std::uint64_t number = ++m_last_call;
+    g.calls.push_back({number, purpose, index, g.round, now + status_timeout});
+    out.emplace_back(control_call{{call_module::failover, number},
+                                  g.instances[index].id,
+                                  std::move(request),
+                                  new_connection,
+                                  status_timeout});
+}
+
+void failover::on_control(const control_answered& answer, instant now, action_list& out) {
+    const auto at = find(answer.endpoint);
+    if (!at) {
+        return;
+    }
+    group& g = *at->in;
+    const auto found = std::find_if(g.calls.begin(), g.calls.end(), [&](const auto& pending) {
+        return pending.number == answer.id.number;
+    });
+    if (found == g.calls.end() || found->instance != at->index) {
+        return;
+    }
+    const detail::pending_call pending = *found;
+    g.calls.erase(found);
+    const auto* result = std::get_if<control_result>(&answer.answer);
+    const auto* error = std::get_if<endpoint_error>(&answer.answer);
+    if (now > pending.expiry) {
+        // After a pause of this daemon an old answer says nothing about the present.
+        result = nullptr;
+    }
+    answered(g, pending, result, error != nullptr ? *error : endpoint_error::timeout, now, out);
+    step(g, now, out);
+}
+
+void failover::expire_calls(group& g, instant now, action_list& out) {
+    while (true) {
+        const auto found = std::find_if(g.calls.begin(), g.calls.end(),
+                                        [&](const auto& call) { return now > call.expiry; });
+        if (found == g.calls.end()) {
+            return;
+        }
+        const detail::pending_call pending = *found;
+        g.calls.erase(found);
+        answered(g, pending, nullptr, endpoint_error::timeout, now, out);
+    }
+}
+
+void failover::answered(group& g, const detail::pending_call& call, const control_result* result,
+                        endpoint_error error, instant now, action_list& out) {
+    const bool current = call.round == g.round;
+    instance& at = g.instances[call.instance];
+    if (current) {
+        at.asked = false;
+    }
+    if (result != nullptr) {
+        learn(g, at, result->state, now, out);
+    }
+    const bool alive = result != nullptr && at.id == g.view.primary &&
+                       result->state.stamp.role == endpoint_role::primary &&
+                       result->state.stamp.term == g.view.term;
+    switch (call.purpose) {
+        case call_purpose::heartbeat:
+        case call_purpose::probe:
+            if (alive) {
+                g.probing = false;
+            } else if (result == nullptr && call.purpose == call_purpose::heartbeat) {
+                suspect(g, error, now, out);
+            } else if (result == nullptr) {
+                probe_failed(g, error, now, out);
+            }
+            return;
+        case call_purpose::survey:
+            if (current && g.activity == group_activity::surveying) {
+                at.answer = result == nullptr ? std::nullopt : std::optional{result->state};
+                evaluate_survey(g, now, out);
+            }
+            return;
+        case call_purpose::fence:
+            if (current && g.activity == group_activity::fencing) {
+                if (result != nullptr && result->accepted) {
+                    at.answer = result->state;
+                } else if (result != nullptr) {
+                    at.refused = true;
+                }
+                evaluate_fences(g, now, out);
+            }
+            return;
+        case call_purpose::promote:
+            if (current) {
+                promote_answered(g, result, now, out);
+            }
+            return;
+        case call_purpose::follow:
+        case call_purpose::check:
+            finish_repair(g, at, result, call.purpose, now);
+            return;
+    }
+}
+
+// ---- Repair ------------------------------------------------------------------------------------
+
+void failover::repair(group& g, instant now, action_list& out) {
+    for (std::size_t i = 0; i < g.instances.size(); ++i) {
+        instance& at = g.instances[i];
+        if (!at.owned || at.id == g.view.primary || now < at.next_repair) {
+            continue;
+        }
+        at.next_repair = now + at.repair_pause;
+        if (at.following < g.view.term) {
+            at.repair_pause = std::min(at.repair_pause * 2, follow_retry_max);
+            send_follow(g, i, now, out);
+        } else {
+            at.next_repair = now + replica_check_interval;
+            call(g, i, call_purpose::check, status_query{}, false, now, out);
+        }
+    }
+}
+
+void failover::send_follow(group& g, std::size_t index, instant now, action_list& out) {
+    const auto start = start_of(g.terms, g.view.term);
+    if (start) {
+        const follow_request request{g.view.term, g.view.primary, *start};
+        call(g, index, call_purpose::follow, request, false, now, out);
+    } else if (const auto primary = find(g.view.primary)) {
+        // The primary's answer brings the term's start position.
+        call(g, primary->index, call_purpose::check, status_query{}, false, now, out);
+    }
+}
+
+void failover::finish_repair(group& g, instance& at, const control_result* result,
+                             call_purpose purpose, instant now) {
+    if (purpose == call_purpose::check || result == nullptr || !result->accepted) {
+        return;
+    }
+    if (result->state.stamp.term == g.view.term && at.id != g.view.primary) {
+        at.following = g.view.term;
+        at.repair_pause = follow_retry_min;
+        at.next_repair = now + replica_check_interval;
+    }
+}
+
+// ---- Time --------------------------------------------------------------------------------------
+
+void failover::step(group& g, instant now, action_list& out) {
+    if (!g.active) {
+        return;
+    }
+    if (g.activity == group_activity::waiting && now >= g.resume_at) {
+        resume(g, now, out);
+    }
+    if (g.activity == group_activity::fencing && now >= g.attempt.retry_at) {
+        send_fences(g, now, out);
+    }
+    if (g.activity != group_activity::idle) {
+        return;
+    }
+    if (g.view.term == 0 || g.highest_term > g.view.term) {
+        start_survey(g, detail::survey_purpose::discover, now, out);
+        return;
+    }
+    monitor(g, now, out);
+    if (g.activity == group_activity::idle) {
+        repair(g, now, out);
+    }
+}
+
+void failover::tick(instant now, action_list& out) {
+    for (auto& [id, g] : m_groups) {
+        if (g.active) {
+            expire_calls(g, now, out);
+            step(g, now, out);
+        }
+    }
+}
+
+std::optional<instant> failover::due(const group& g) const {
+    std::optional<instant> at;
+    for (const detail::pending_call& call : g.calls) {
+        earlier(at, call.expiry + duration::from_us(1));
+    }
+    if (g.activity == group_activity::waiting) {
+        earlier(at, g.resume_at);
+    }
+    if (g.activity == group_activity::fencing) {
+        earlier(at, g.attempt.retry_at);
+    }
+    if (g.activity != group_activity::idle) {
+        return at;
+    }
+    for (const instance& i : g.instances) {
+        if (i.owned && i.id != g.view.primary) {
+            earlier(at, i.next_repair);
+        }
+    }
+    if (!owns_primary(g)) {
+        earlier(at, g.next_query);
+        earlier(at, candidate_due(g));
+        earlier(at, g.owner_failed
+                        ? g.next_direct
+                        : std::max(g.next_direct, g.owner_heard + query_interval + doubt_delay));
+        return at;
+    }
+    earlier(at, g.probing ? g.next_probe
+                          : std::max(g.next_heartbeat, g.primary_heard + heartbeat_interval));
+    const endpoint_entry* primary = m_context.fleet->endpoint(g.view.primary);
+    if (primary != nullptr && primary->state == member_state::leaving) {
+        earlier(at, g.next_leaving_switch);
+    }
+    return at;
+}
+
+std::optional<instant> failover::next_wakeup() const {
+    std::optional<instant> next;
+    for (const auto& [id, g] : m_groups) {
+        const auto at = g.active ? due(g) : std::nullopt;
+        if (at) {
+            earlier(next, *at);
+        }
+    }
+    return next;
+}
+
+}  // namespace jasminelead
