--- a/src/owner.cc
+++ b/src/owner.cc
@@ -45,8 +45,7 @@
 owner::owner(core_context& context, group_authority& groups, write_confirmation& confirmations)
     : m_context{context}, m_groups{groups}, m_confirmations{confirmations} {}
 
-// ---- Look-ups
-// ------------------------------------------------------------------------------------
+// ---- Look-ups ----
 
 owner::endpoint* owner::find(const endpoint_id& id) {
     const auto found = m_endpoints.find(id);
@@ -90,8 +89,7 @@
     return m_context.checks == nullptr ? holds : m_context.checks->check(which, holds);
 }
 
-// ---- Connections and control calls
-// ---------------------------------------------------------------
+// ---- Connections and control calls ----
 
 void owner::on_opened(const connection_opened& opened, instant now, action_list& out) {
     m_groups.on_stamp(opened.endpoint, opened.stamp, now, out);
@@ -211,26 +209,7 @@
     }
 }
 
-/// Reads have other endpoints to go to; writes wait for the primary or for its successor.
-void owner::refuse_waiting_reads(endpoint& at, instant now, action_list& out) {
-    if (at.pool.size() > at.pool.opening()) {
-        return;
-    }
-    std::vector<std::uint64_t> reads;
-    for (const auto& [number, pending] : at.calls) {
-        const statement_call& call = pending.call;
-        const bool plain_read = call.kind == request_kind::statement && call.read && !call.confirm;
-        if (plain_read && pending.where != place::running) {
-            reads.push_back(number);
-        }
-    }
-    for (const std::uint64_t number : reads) {
-        refuse_waiting(at, number, reason::endpoint_unavailable, now, out);
-    }
-}
-
-// ---- Changes around the endpoints
-// ----------------------------------------------------------------
+// ---- Changes around the endpoints ----
 
 void owner::on_view_changed(const group_id& group, instant now, action_list& out) {
     for (auto& [id, at] : m_endpoints) {
@@ -292,8 +271,7 @@
     return m_draining && m_confirming.empty() && m_endpoints.empty();
 }
 
-// ---- Time
-// ----------------------------------------------------------------------------------------
+// ---- Time ----
 
 void owner::tick(instant now, action_list& out) {
     m_lost.expire(now);
@@ -395,7 +373,7 @@
         } else {
             const pending_call pending = take_running(at, number, now);
             reply(pending, unknown_outcome{reason::connection_silent, ""}, std::nullopt, out);
-            if (pending.transaction == 0) {
+            if (!at.transactions.contains(pending.transaction)) {
                 at.pool.put_back(connection, now);
             }
         }
--- a/src/owner_run.cc
+++ b/src/owner_run.cc
@@ -29,6 +29,11 @@
     return is_write(call) || (call.kind == request_kind::statement && call.confirm);
 }
 
+/// Any endpoint of the group may answer it.
+bool is_plain_read(const statement_call& call) {
+    return call.kind == request_kind::statement && call.read && !call.confirm;
+}
+
 bool needs_primary(const statement_call& call) {
     return needs_confirmation(call) || call.kind == request_kind::begin ||
            call.kind == request_kind::execute;
@@ -40,8 +45,7 @@
 
 }  // namespace
 
-// ---- Arrival
-// -------------------------------------------------------------------------------------
+// ---- Arrival ----
 
 void owner::on_call(const host_id& from, statement_call call, instant now, action_list& out) {
     m_now = now;
@@ -90,6 +94,11 @@
     if (m_draining || (!holds && !will_hold)) {
         return reason::not_owner;
     }
+    // Reads need not wait for the next attempt to reach an endpoint that was just unreachable.
+    const bool unreachable = at->claim.held() && at->pool.size() == 0 && now < at->next_open;
+    if (unreachable && is_plain_read(call)) {
+        return reason::endpoint_unavailable;
+    }
     return service_share(*at, call.service) == 0 ? reason::connection_limit : reason::none;
 }
 
@@ -154,11 +163,11 @@
         refuse_waiting(at, number, decision.refuse, now, out);
         return;
     }
-    const bool full = at.held + at.queue.size() >= admission::capacity;
     if (decision.wait) {
         ++at.held;
         pending.where = place::held;
-        if (full) {
+        // Held writes have a bound of their own, so that they do not keep reads out of the queue.
+        if (at.held > admission::capacity) {
             refuse_waiting(at, number, reason::overloaded, now, out);
         }
         return;
@@ -224,8 +233,23 @@
     reply(pending, not_run{why, ""}, std::nullopt, out);
 }
 
-// ---- Dispatch
-// ------------------------------------------------------------------------------------
+/// Reads have other endpoints to go to; writes wait for the primary or for its successor.
+void owner::refuse_waiting_reads(endpoint& at, instant now, action_list& out) {
+    if (at.pool.size() > at.pool.opening()) {
+        return;
+    }
+    std::vector<std::uint64_t> reads;
+    for (const auto& [number, pending] : at.calls) {
+        if (is_plain_read(pending.call) && pending.where != place::running) {
+            reads.push_back(number);
+        }
+    }
+    for (const std::uint64_t number : reads) {
+        refuse_waiting(at, number, reason::endpoint_unavailable, now, out);
+    }
+}
+
+// ---- Dispatch ----
 
 void owner::dispatch(endpoint& at, instant now, action_list& out) {
     const std::uint32_t slots = limits(at).slots;
@@ -367,8 +391,7 @@
     }
 }
 
-// ---- Answers
-// -------------------------------------------------------------------------------------
+// ---- Answers ----
 
 void owner::on_answered(statement_answered answered, instant now, action_list& out) {
     m_now = now;
--- a/test/owner_test.cc
+++ b/test/owner_test.cc
@@ -208,6 +208,7 @@
     fake_confirmations confirmations;
     owner subject{context, groups, confirmations};
     instant now;
+    bool fail_opens = false;
     std::vector<statement_answered> running;  ///< Executed; the answers are not delivered yet.
     std::map<std::uint64_t, statement_reply> replies;
     std::vector<action> seen;
@@ -237,7 +238,9 @@
     }
     void perform(const open_connection& item, action_list& out) {
         endpoint_model& endpoint = model(item.endpoint);
-        if (const auto error = endpoint.connect(model_id(item.connection), item.epoch)) {
+        const auto error = fail_opens ? std::optional{endpoint_error::refused}
+                                      : endpoint.connect(model_id(item.connection), item.epoch);
+        if (error) {
             subject.on_failed({item.endpoint, item.connection, *error}, now, out);
             return;
         }
@@ -295,8 +298,7 @@
 
 }  // namespace
 
-// ---- Claims
-// --------------------------------------------------------------------------------------
+// ---- Claims ----
 
 TEST_CASE("claims keep two owners within the connection limit of an endpoint") {
     CHECK(most_connections_of_two_owners(true) == 4);
@@ -383,8 +385,7 @@
     CHECK(f.primary.state({}).owner.empty());
 }
 
-// ---- Writes
-// --------------------------------------------------------------------------------------
+// ---- Writes ----
 
 // Guards against an acknowledgement that no majority confirmed.
 TEST_CASE("a write is done only after its confirmation") {
@@ -518,8 +519,7 @@
     CHECK(f.x.result_of(commit) == reason::none);
 }
 
-// ---- Connections
-// ---------------------------------------------------------------------------------
+// ---- Connections ----
 
 // Guards against slots and connections beyond the table's row.
 TEST_CASE("slots and the service's connection share bound what runs") {
@@ -566,6 +566,21 @@
     return f.x;
 }
 
+// Guards against reads that wait to their deadline for an endpoint that cannot be reached.
+TEST_CASE("reads are sent elsewhere while the endpoint cannot be reached, writes wait") {
+    one_daemon f;
+    f.x.fail_opens = true;
+    f.primary.crash();
+    f.x.notice_closed();
+    CHECK(f.x.result_of(f.x.read()) == reason::endpoint_unavailable);
+    const auto write = f.x.write();
+    f.x.fail_opens = false;
+    f.x.advance(1_s);
+    f.x.answer_all();
+    f.x.confirm();
+    CHECK(f.x.result_of(write) == reason::none);
+}
+
 TEST_CASE("a late answer never reaches another caller") {
     one_daemon f;
     std::uint64_t second = 0;
@@ -603,8 +618,7 @@
     CHECK(f.x.status().connections >= 1);
 }
 
-// ---- Transactions
-// --------------------------------------------------------------------------------
+// ---- Transactions ----
 
 TEST_CASE("a transaction keeps its connection until its commit is confirmed") {
     one_daemon f;
@@ -693,8 +707,7 @@
     CHECK_FALSE(f.x.is_unknown(commit));
 }
 
-// ---- Random histories
-// ----------------------------------------------------------------------------
+// ---- Random histories ----
 
 namespace {
 
