--- a/include/jasminelead/table_edit.h
+++ b/include/jasminelead/table_edit.h
@@ -36,6 +36,7 @@
 struct edit_failed {
     std::string why;
     bool may_be_applied = false;
+    bool unreachable = false;  ///< The store did not answer.
 };
 using edit_outcome = std::variant<edit_applied, edit_conflicted, edit_invalid, edit_failed>;
 using edit_step = std::variant<store_request, edit_outcome>;
--- a/src/table_edit.cc
+++ b/src/table_edit.cc
@@ -13,7 +13,7 @@
 constexpr std::size_t max_head_bytes = 655'360;
 
 edit_step failed(std::string why, bool may_be_applied) {
-    return edit_outcome{edit_failed{std::move(why), may_be_applied}};
+    return edit_outcome{edit_failed{std::move(why), may_be_applied, false}};
 }
 
 std::string last_edit_id(const table_head& head, const table_snapshot& base) {
@@ -79,7 +79,7 @@
         m_unanswered = m_next.revision;
     }
     if (++m_attempts >= max_attempts) {
-        return failed("the store does not answer", m_unanswered != 0);
+        return edit_outcome{edit_failed{"the store does not answer", m_unanswered != 0, true}};
     }
     // The head is read again in every case: it shows whether a lost swap took effect.
     return read_head();
