--- a/include/jasminelead/acknowledger.h
+++ b/include/jasminelead/acknowledger.h
@@ -9,6 +9,7 @@
 #include "jasminelead/context.h"
 #include "jasminelead/failover.h"
 #include "jasminelead/messages.h"
+#include "jasminelead/write_confirmation.h"
 
 /// Confirmation of writes by a majority of the group.
 namespace jasminelead {
@@ -23,23 +24,18 @@
 }  // namespace acknowledger_timing
 
 /// Confirms executed writes, and reads that need a confirmed term. Used by the owner of a primary.
-class acknowledger {
+class acknowledger final : public write_confirmation {
 public:
-    using ticket = std::uint64_t;
-    struct result {
-        ticket id = 0;
-        bool confirmed = false;
-    };
-
     acknowledger(core_context& context, failover& groups);
 
     /// `executed` is the stamp of the primary's answer. Each ticket gets exactly one result.
     ticket submit(const group_id& group, const endpoint_id& primary, const position_stamp& executed,
-                  instant deadline, instant now, action_list& out);
+                  instant deadline, instant now, action_list& out) override;
     void on_control(const control_answered& answer, instant now, action_list& out);
-    std::vector<result> take_results();
+    std::vector<result> take_results() override;
+    [[nodiscard]] bool has_results() const { return !m_results.empty(); }
     /// False after 1,000 ms without a confirmation although one was asked for.
-    [[nodiscard]] bool has_majority(const group_id& group, instant now) const;
+    [[nodiscard]] bool has_majority(const group_id& group, instant now) const override;
     void tick(instant now, action_list& out);
     [[nodiscard]] std::optional<instant> next_wakeup() const;
 
--- a/include/jasminelead/failover.h
+++ b/include/jasminelead/failover.h
@@ -9,6 +9,8 @@
 #include <vector>
 
 #include "jasminelead/context.h"
+#include "jasminelead/group_authority.h"
+#include "jasminelead/group_source.h"
 #include "jasminelead/messages.h"
 #include "jasminelead/types.h"
 
@@ -65,7 +67,7 @@
 enum class survey_purpose { discover, primary_silent, owner_lost, planned_switch };
 enum class call_purpose { heartbeat, probe, survey, fence, promote, follow, check };
 
-struct pending_call {
+struct control_attempt {
     std::uint64_t number = 0;
     call_purpose purpose = call_purpose::check;
     std::size_t instance = 0;
@@ -108,7 +110,7 @@
     host_id primary_owner;
     bool active = false;  ///< This daemon owns an endpoint of the group.
     bool changed = false;
-    std::vector<pending_call> calls;
+    std::vector<control_attempt> calls;
 
     instant primary_alive;  ///< Last time that the primary is known to have been alive.
     instant primary_heard;
@@ -143,28 +145,29 @@
 
 /// The failover state of all groups of the fleet. Only groups of which this daemon owns an
 /// endpoint are watched; the others are learned from peers.
-class failover {
+class failover final : public group_authority, public group_source {
 public:
     /// Throws std::invalid_argument for a policy that is not registered.
     explicit failover(core_context& context, std::string_view policy = "default");
 
     /// Term 0 and an empty primary while unknown.
-    [[nodiscard]] const group_view& view(const group_id& group) const;
-    [[nodiscard]] const term_history& terms(const group_id& group) const;
+    [[nodiscard]] const group_view& view(const group_id& group) const override;
+    [[nodiscard]] const term_history& terms(const group_id& group) const override;
     /// The highest term seen at any instance; a primary of a lower term has been superseded.
     [[nodiscard]] term_number highest_term(const group_id& group) const;
     /// True during a planned switch and while this daemon suspects the primary.
-    [[nodiscard]] bool writes_held(const group_id& group) const;
+    [[nodiscard]] bool writes_held(const group_id& group) const override;
     [[nodiscard]] std::optional<position_stamp> last_stamp(const endpoint_id& endpoint) const;
 
     void on_stamp(const endpoint_id& endpoint, const position_stamp& stamp, instant now,
-                  action_list& out);
+                  action_list& out) override;
     /// The answer to a status call of another module, sent less than `status_timeout` ago.
     void on_state(const endpoint_id& endpoint, const endpoint_state& state, instant now,
                   action_list& out);
-    void on_view(const group_id& group, const group_view& view, instant now, action_list& out);
+    void on_view(const group_id& group, const group_view& view, instant now,
+                 action_list& out) override;
     void on_connection_error(const endpoint_id& endpoint, endpoint_error error, instant now,
-                             action_list& out);
+                             action_list& out) override;
     void on_control(const control_answered& answer, instant now, action_list& out);
     void on_query(const host_id& from, const group_query& query, instant now, action_list& out);
     void on_report(const host_id& from, const group_report& report, instant now, action_list& out);
@@ -211,7 +214,7 @@
     void announce(const group& g, instant now, action_list& out) const;
     void call(group& g, std::size_t index, detail::call_purpose purpose, control_request request,
               bool new_connection, instant now, action_list& out);
-    void answered(group& g, const detail::pending_call& call, const control_result* result,
+    void answered(group& g, const detail::control_attempt& call, const control_result* result,
                   endpoint_error error, instant now, action_list& out);
     void expire_calls(group& g, instant now, action_list& out);
 
--- a/src/failover.cc
+++ b/src/failover.cc
@@ -450,7 +450,7 @@
     if (found == g.calls.end() || found->instance != at->index) {
         return;
     }
-    const detail::pending_call pending = *found;
+    const detail::control_attempt pending = *found;
     g.calls.erase(found);
     const auto* result = std::get_if<control_result>(&answer.answer);
     const auto* error = std::get_if<endpoint_error>(&answer.answer);
@@ -469,13 +469,13 @@
         if (found == g.calls.end()) {
             return;
         }
-        const detail::pending_call pending = *found;
+        const detail::control_attempt pending = *found;
         g.calls.erase(found);
         answered(g, pending, nullptr, endpoint_error::timeout, now, out);
     }
 }
 
-void failover::answered(group& g, const detail::pending_call& call, const control_result* result,
+void failover::answered(group& g, const detail::control_attempt& call, const control_result* result,
                         endpoint_error error, instant now, action_list& out) {
     const bool current = call.round == g.round;
     instance& at = g.instances[call.instance];
@@ -605,7 +605,7 @@
 
 std::optional<instant> failover::due(const group& g) const {
     std::optional<instant> at;
-    for (const detail::pending_call& call : g.calls) {
+    for (const detail::control_attempt& call : g.calls) {
         earlier(at, call.expiry + duration::from_us(1));
     }
     if (g.activity == group_activity::waiting) {
--- a/test/arguments_test.cc
+++ b/test/arguments_test.cc
@@ -1,4 +1,4 @@
-#include "arguments.h"
+#include "ctl/arguments.h"
 
 #include <catch2/catch.hpp>
 
--- a/test/http_client_test.cc
+++ b/test/http_client_test.cc
@@ -1,4 +1,4 @@
-#include "http_client.h"
+#include "ctl/http_client.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -9,8 +9,8 @@
 #include <sstream>
 #include <thread>
 
-#include "daemon_commands.h"
-#include "store_client.h"
+#include "ctl/daemon_commands.h"
+#include "ctl/store_client.h"
 
 using namespace jasminelead;
 using namespace jasminelead::ctl;
--- a/test/printing_test.cc
+++ b/test/printing_test.cc
@@ -1,4 +1,4 @@
-#include "printing.h"
+#include "ctl/printing.h"
 
 #include <boost/json.hpp>
 #include <catch2/catch.hpp>
--- a/test/table_commands_test.cc
+++ b/test/table_commands_test.cc
@@ -1,4 +1,4 @@
-#include "table_commands.h"
+#include "ctl/table_commands.h"
 
 #include <catch2/catch.hpp>
 #include <sstream>
--- a/test/totals_command_test.cc
+++ b/test/totals_command_test.cc
@@ -1,4 +1,4 @@
-#include "totals_command.h"
+#include "ctl/totals_command.h"
 
 #include <catch2/catch.hpp>
 #include <sstream>
