Add randomised runs with faults over the testbed

Cause: promises must be shown under overlapping faults. Change: 17 kinds of faults drawn by seed, checked from outside the core; stalled endpoints and hosts that lose power in the testbed.

--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 	$(BUILD)/jasminelead-demo
 
 soak: build
-	support/soak $(BUILD) $(SEEDS) $(FROM)
+	$(BUILD)/jasminelead-soak --seeds $(SEEDS) --from $(FROM)
 
 format:
 	git ls-files -- '*.h' '*.cc' | xargs clang-format -i
--- /dev/null
+++ b/support/soak.cc
@@ -0,0 +1,300 @@
+#include "soak.h"
+
+#include <algorithm>
+#include <array>
+#include <ostream>
+
+#include "workload.h"
+
+namespace jasminelead::support {
+namespace {
+
+using namespace literals;
+
+constexpr duration warm_up = 3_s;
+constexpr duration faults_last = 12_s;
+constexpr duration longest_fault = 5_s;
+/// Time after the last fault in which the system must serve again.
+constexpr duration recovery = 15_s;
+constexpr duration revision_check_interval = 50_ms;
+
+constexpr std::array<std::string_view, fault_kind_count> names = {
+    "crash_primary",    "silence_primary",    "silence_connections", "crash_replica",
+    "stop_replication", "stall_primary",      "stall_replica",       "crash_host",
+    "lose_power",       "pause_host",         "drain_host",          "cut_data_centre",
+    "stop_store",       "lose_store_answers", "edit_table",          "switch_primary",
+    "leave_endpoint"};
+
+class soak_run {
+public:
+    soak_run(const soak_options& options, std::span<const fault> faults)
+        : m_bed{options.deployment == "cascadia" ? cascadia() : cooperative(),
+                bed_options(options)},
+          m_callers{m_bed, {}},
+          m_faults{faults} {}
+
+    soak_result run() {
+        m_bed.run_for(warm_up);
+        m_callers.start();
+        for (const fault& item : m_faults) {
+            m_bed.schedule(item.at, [this, &item] { inject(item); });
+        }
+        watch_revisions();
+        m_bed.run_for(faults_last + longest_fault);
+        m_bed.heal();
+        m_bed.run_for(recovery);
+        check_serving();
+        m_callers.stop();
+        m_bed.run_for(recovery);
+        m_callers.check_final_state();
+        return result();
+    }
+
+private:
+    static testbed_options bed_options(const soak_options& options) {
+        testbed_options result;
+        result.seed = options.seed;
+        result.strict = options.strict;
+        result.enabled = options.enabled;
+        return result;
+    }
+
+    void later(const fault& item, std::function<void()> undo) {
+        m_bed.schedule(item.span, std::move(undo));
+    }
+
+    void inject(const fault& item) {
+        const group_id& group = m_bed.groups()[item.target % m_bed.groups().size()];
+        const host_id& host = m_bed.hosts()[item.target % m_bed.hosts().size()];
+        switch (item.kind) {
+            case fault_kind::crash_primary:
+                crash(item, m_bed.primary_of(group));
+                break;
+            case fault_kind::crash_replica:
+                crash(item, replica_of(group));
+                break;
+            case fault_kind::silence_primary:
+                silence(item, m_bed.primary_of(group));
+                break;
+            case fault_kind::silence_connections:
+                m_bed.silence_connections(m_bed.primary_of(group));
+                break;
+            case fault_kind::stall_primary:
+                stall(item, m_bed.primary_of(group));
+                break;
+            case fault_kind::stall_replica:
+                stall(item, replica_of(group));
+                break;
+            case fault_kind::stop_replication:
+                stop_replication(item, replica_of(group));
+                break;
+            case fault_kind::leave_endpoint:
+                leave(item, m_bed.primary_of(group));
+                break;
+            case fault_kind::switch_primary:
+                for (const host_id& any : m_bed.hosts()) {
+                    m_bed.switchover(any, group);
+                }
+                break;
+            default:
+                inject_elsewhere(item, host);
+                break;
+        }
+    }
+
+    void inject_elsewhere(const fault& item, const host_id& host) {
+        switch (item.kind) {
+            case fault_kind::crash_host:
+                m_bed.crash_host(host);
+                later(item, [this, host] { m_bed.restart_host(host); });
+                break;
+            case fault_kind::lose_power:
+                m_bed.lose_power(host);
+                later(item, [this, host] { m_bed.restart_host(host); });
+                break;
+            case fault_kind::pause_host:
+                m_bed.pause_host(host);
+                later(item, [this, host] { m_bed.resume_host(host); });
+                break;
+            case fault_kind::drain_host:
+                m_bed.drain(host);
+                later(item, [this, host] {
+                    m_bed.crash_host(host);
+                    m_bed.restart_host(host);
+                });
+                break;
+            case fault_kind::cut_data_centre: {
+                const data_centre_id place = m_bed.data_centre(item.target);
+                m_bed.set_cut(place, true);
+                later(item, [this, place] { m_bed.set_cut(place, false); });
+                break;
+            }
+            case fault_kind::stop_store:
+                m_bed.set_store_available(false);
+                later(item, [this] { m_bed.set_store_available(true); });
+                break;
+            case fault_kind::lose_store_answers:
+                m_bed.lose_store_answers(3);
+                break;
+            default:
+                edit(item);
+                break;
+        }
+    }
+
+    void crash(const fault& item, const endpoint_id& id) {
+        m_bed.crash_endpoint(id);
+        later(item, [this, id] { m_bed.restart_endpoint(id); });
+    }
+
+    void silence(const fault& item, const endpoint_id& id) {
+        m_bed.set_endpoint_silent(id, true);
+        later(item, [this, id] { m_bed.set_endpoint_silent(id, false); });
+    }
+
+    void stall(const fault& item, const endpoint_id& id) {
+        m_bed.set_endpoint_stalled(id, true);
+        later(item, [this, id] { m_bed.set_endpoint_stalled(id, false); });
+    }
+
+    void stop_replication(const fault& item, const endpoint_id& id) {
+        m_bed.set_replication_stopped(id, true);
+        later(item, [this, id] { m_bed.set_replication_stopped(id, false); });
+    }
+
+    void leave(const fault& item, const endpoint_id& id) {
+        m_bed.set_member_state(id, member_state::leaving);
+        later(item, [this, id] { m_bed.set_member_state(id, member_state::live); });
+    }
+
+    endpoint_id replica_of(const group_id& group) {
+        const endpoint_id primary = m_bed.primary_of(group);
+        for (const endpoint_id& id : m_bed.endpoints_of(group)) {
+            if (id != primary) {
+                return id;
+            }
+        }
+        return primary;
+    }
+
+    void edit(const fault& item) {
+        const endpoint_id id =
+            m_bed.endpoints_of(m_bed.groups()[item.target % m_bed.groups().size()]).front();
+        const std::string cell = "endpoint/" + id.str() + ".read_weight";
+        const std::string value = std::to_string(1 + item.target % 1000);
+        const std::string seen = std::exchange(m_weights[cell], value);
+        m_bed.edit_table({{cell, seen.empty() ? "100" : seen, value}});
+    }
+
+    /// No daemon's table may go back while the daemon runs.
+    void watch_revisions() {
+        for (const host_id& host : m_bed.hosts()) {
+            const kernel* const core = m_bed.kernel_of(host);
+            if (core == nullptr) {
+                m_revisions.erase(host);
+                continue;
+            }
+            const auto& config = core->context().config;
+            const revision_number revision = config == nullptr ? 0 : config->revision;
+            revision_number& highest = m_revisions[host];
+            // A restarted daemon begins without a table.
+            if (revision < highest && revision != 0) {
+                m_broken.push_back("table of " + host.str() + " went back from revision " +
+                                   std::to_string(highest) + " to " + std::to_string(revision));
+            }
+            highest = revision;
+        }
+        m_bed.schedule(revision_check_interval, [this] { watch_revisions(); });
+    }
+
+    /// After all faults are healed every group serves writes on every daemon, and all daemons hold
+    /// one table revision.
+    void check_serving() {
+        std::set<revision_number> revisions;
+        for (const host_id& host : m_bed.hosts()) {
+            const auto& config = m_bed.kernel_of(host)->context().config;
+            revisions.insert(config == nullptr ? 0 : config->revision);
+            for (const group_id& group : m_bed.groups()) {
+                check_write(host, group);
+            }
+        }
+        if (revisions.size() != 1) {
+            m_broken.emplace_back("daemons hold different table revisions after the recovery");
+        }
+        m_bed.run_for(2_s);
+        if (m_served != m_bed.hosts().size() * m_bed.groups().size()) {
+            m_broken.emplace_back(
+                "not every group serves writes on every daemon after the recovery");
+        }
+    }
+
+    void check_write(const host_id& host, const group_id& group) {
+        caller_request request;
+        request.group = group;
+        request.service = service_id{"web"};
+        request.text = "set check " + host.str();
+        request.timeout = 1_s;
+        m_bed.submit(host, std::move(request), [this](const auto& reply) {
+            m_served += reply && std::holds_alternative<done>(reply->result) ? 1 : 0;
+        });
+    }
+
+    soak_result result() {
+        soak_result summary;
+        summary.requests = m_callers.report().requests;
+        summary.done = m_callers.report().done;
+        summary.broken = m_broken;
+        for (const auto& [name, times] : m_callers.report().broken) {
+            summary.broken.push_back(name + " broken " + std::to_string(times) + " times");
+        }
+        for (const auto& [name, times] : m_bed.broken_by_name()) {
+            if (times > 0) {
+                summary.broken.push_back("invariant " + name + " broken " + std::to_string(times) +
+                                         " times");
+            }
+        }
+        return summary;
+    }
+
+    testbed m_bed;
+    workload m_callers;
+    std::span<const fault> m_faults;
+    std::map<std::string, std::string> m_weights;
+    std::map<host_id, revision_number> m_revisions;
+    std::size_t m_served = 0;
+    std::vector<std::string> m_broken;
+};
+
+}  // namespace
+
+std::string_view to_string(fault_kind kind) {
+    return names.at(static_cast<std::size_t>(kind));
+}
+
+std::ostream& operator<<(std::ostream& out, const fault& item) {
+    return out << to_string(item.kind) << " at " << item.at.ms() << " ms for " << item.span.ms()
+               << " ms, target " << item.target;
+}
+
+std::vector<fault> random_faults(std::uint64_t seed) {
+    std::mt19937_64 random{seed};
+    std::uniform_int_distribution<std::size_t> how_many{1, 8};
+    std::uniform_int_distribution<std::size_t> kind{0, fault_kind_count - 1};
+    std::uniform_int_distribution<std::int64_t> at{0, faults_last.us()};
+    std::uniform_int_distribution<std::int64_t> span{50'000, longest_fault.us()};
+    std::uniform_int_distribution<std::size_t> target{0, 999};
+    std::vector<fault> faults(how_many(random));
+    for (fault& item : faults) {
+        item.kind = static_cast<fault_kind>(kind(random));
+        item.at = duration::from_us(at(random));
+        item.span = duration::from_us(span(random));
+        item.target = target(random);
+    }
+    return faults;
+}
+
+soak_result run_soak(const soak_options& options, std::span<const fault> faults) {
+    return soak_run{options, faults}.run();
+}
+
+}  // namespace jasminelead::support
--- a/support/testbed.cc
+++ b/support/testbed.cc
@@ -59,9 +59,12 @@
     std::unique_ptr<endpoint_model> model;
     bool up = true;
     bool silent = false;
+    bool stalled = false;
+    std::vector<std::function<void()>> waiting;  ///< Statements that arrived during a stall.
     bool replication_stopped = false;
-    std::uint32_t running = 0;
-    std::uint32_t most_running = 0;
+    /// Connections with a statement that runs. A statement ends when its connection closes.
+    std::set<connection_id> running;
+    std::size_t most_running = 0;
     struct client {
         host_id host;
         std::uint64_t life = 0;
@@ -378,7 +381,8 @@
         });
         return;
     }
-    if (target.silent || !reachable(from.entry.data_centre, target.entry.data_centre)) {
+    const bool answers = target.up && !target.silent && !target.stalled;
+    if (!answers || !reachable(from.entry.data_centre, target.entry.data_centre)) {
         schedule(connect_timeout, [this, id = from.entry.id, life = from.life, open] {
             deliver(id, life,
                     connection_failed{open.endpoint, open.connection, endpoint_error::timeout});
@@ -415,6 +419,7 @@
         endpoint_node& target = node(close.endpoint);
         target.model->disconnect(key);
         target.clients.erase(key);
+        target.running.erase(key);
     });
 }
 
@@ -442,8 +447,8 @@
         target.silent_connections.contains(key) || !target.model->is_open(key)) {
         return;
     }
-    ++target.running;
-    target.most_running = std::max(target.most_running, target.running);
+    target.running.insert(key);
+    target.most_running = std::max(target.most_running, target.running.size());
     std::exponential_distribution<double> service{1.0 / m_sizes.service_time.ms()};
     const duration work = duration::from_ms(std::min(service(m_random), 20.0));
     schedule(work, [this, from, life, run = std::move(run)] { finish_statement(from, life, run); });
@@ -453,7 +458,11 @@
     endpoint_node& target = node(run.endpoint);
     const host_node& client = node(from);
     const connection_id key = connection_key(client, run.connection);
-    --target.running;
+    if (target.stalled) {
+        target.waiting.emplace_back([this, from, life, run] { finish_statement(from, life, run); });
+        return;
+    }
+    target.running.erase(key);
     if (!target.up || client.life != life || !target.model->is_open(key)) {
         return;
     }
@@ -496,6 +505,9 @@
             return;
         }
         std::variant<control_result, endpoint_error> answer = endpoint_error::refused;
+        if (endpoint.stalled) {
+            return;
+        }
         if (endpoint.up) {
             answer = endpoint.model->control(call.request, m_now);
             lose_dropped_connections(endpoint);
@@ -524,6 +536,7 @@
             schedule(latency(place, target.entry.data_centre),
                      [this, client, lost] { deliver(client.host, client.life, lost); });
         }
+        target.running.erase(it->first);
         it = target.clients.erase(it);
     }
 }
@@ -532,12 +545,12 @@
     schedule(replication_interval, [this, id] { replicate(id); });
     endpoint_node& replica = node(id);
     const endpoint_id& source_id = replica.model->primary();
-    if (!replica.up || replica.silent || replica.replication_stopped || source_id.empty() ||
-        source_id == id) {
+    if (!replica.up || replica.silent || replica.stalled || replica.replication_stopped ||
+        source_id.empty() || source_id == id) {
         return;
     }
     const endpoint_node& source = node(source_id);
-    if (!source.up || source.silent ||
+    if (!source.up || source.silent || source.stalled ||
         !reachable(source.entry.data_centre, replica.entry.data_centre)) {
         return;
     }
@@ -602,7 +615,15 @@
 // ----------------------------------------------------------------------------------------
 
 void testbed::crash_host(const host_id& host) {
-    host_node& target = node(host);
+    stop_kernel(node(host), true);
+}
+
+void testbed::lose_power(const host_id& host) {
+    stop_kernel(node(host), false);
+}
+
+void testbed::stop_kernel(host_node& target, bool connections_closed) {
+    const host_id& host = target.entry.id;
     if (!target.core) {
         return;
     }
@@ -615,8 +636,12 @@
     target.outstanding.clear();
     for (auto& [connection, endpoint] : std::exchange(target.connections, {})) {
         const connection_id key = connection_key(target, connection);
-        node(endpoint).model->disconnect(key);
-        node(endpoint).clients.erase(key);
+        endpoint_node& at = node(endpoint);
+        at.clients.erase(key);
+        if (connections_closed) {
+            at.model->disconnect(key);
+            at.running.erase(key);
+        }
     }
     ++target.life;
     for (auto& [request, handler] : std::exchange(target.callers, {})) {
@@ -665,6 +690,7 @@
     target.silent = false;
     target.silent_connections.clear();
     target.model->crash();
+    target.running.clear();
     lose_dropped_connections(target);
 }
 
@@ -683,6 +709,16 @@
     }
 }
 
+void testbed::set_endpoint_stalled(const endpoint_id& id, bool stalled) {
+    endpoint_node& target = node(id);
+    target.stalled = stalled;
+    if (!stalled) {
+        for (const auto& statement : std::exchange(target.waiting, {})) {
+            statement();
+        }
+    }
+}
+
 void testbed::set_replication_stopped(const endpoint_id& id, bool stopped) {
     node(id).replication_stopped = stopped;
 }
@@ -719,6 +755,7 @@
         endpoint->up = true;
         endpoint->silent = false;
         endpoint->replication_stopped = false;
+        set_endpoint_stalled(id, false);
     }
     for (auto& [id, host] : m_hosts) {
         resume_host(id);
--- a/support/testbed.h
+++ b/support/testbed.h
@@ -78,12 +78,16 @@
 
     // Faults.
     void crash_host(const host_id& host);
+    /// As a crash, but endpoints keep the connections of the host open.
+    void lose_power(const host_id& host);
     void restart_host(const host_id& host);
     void pause_host(const host_id& host);
     void resume_host(const host_id& host);
     void crash_endpoint(const endpoint_id& id);
     void restart_endpoint(const endpoint_id& id);
     void set_endpoint_silent(const endpoint_id& id, bool silent);
+    /// A stalled endpoint takes statements and runs them when the stall ends.
+    void set_endpoint_stalled(const endpoint_id& id, bool stalled);
     /// Connections that are open now never answer again; new ones work.
     void silence_connections(const endpoint_id& id);
     void set_replication_stopped(const endpoint_id& id, bool stopped);
@@ -122,6 +126,7 @@
     void build_fleet();
     void seed_table();
     void start_kernel(host_node& host);
+    void stop_kernel(host_node& host, bool connections_closed);
     host_node& node(const host_id& host) { return *m_hosts.at(host); }
     endpoint_node& node(const endpoint_id& id) { return *m_endpoints.at(id); }
     void deliver(const host_id& host, std::uint64_t life, event input);
