--- a/include/jasminelead/failover.h
+++ b/include/jasminelead/failover.h
@@ -39,7 +39,7 @@
 inline constexpr duration replica_check_interval = duration::from_ms(10'000);
 /// A planned switch is given up when the successor has not caught up by then.
 inline constexpr duration switch_limit = duration::from_ms(1000);
-inline constexpr duration switch_poll_min = duration::from_ms(2);
+inline constexpr duration switch_poll_min = duration::from_ms(0.5);
 inline constexpr duration switch_poll_max = duration::from_ms(20);
 /// Pause between planned switches away from a primary that is leaving.
 inline constexpr duration leaving_switch_interval = duration::from_ms(5000);
@@ -135,6 +135,7 @@
 
     endpoint_id successor;
     instant switch_until;
+    bool primary_asked_again = false;
     duration switch_pause = failover_timing::switch_poll_min;
     instant next_leaving_switch;
 };
--- a/src/failover_detection.cc
+++ b/src/failover_detection.cc
@@ -170,6 +170,7 @@
 void failover::start_survey(group& g, survey_purpose purpose, instant now, action_list& out) {
     g.activity = group_activity::surveying;
     g.purpose = purpose;
+    g.primary_asked_again = false;
     ++g.round;
     const bool new_connection = purpose != survey_purpose::planned_switch;
     for (std::size_t i = 0; i < g.instances.size(); ++i) {
@@ -334,6 +335,16 @@
     const bool ready = next.answer && next.answer->stamp.term == g.view.term &&
                        complete_term(*next.answer) == g.view.term &&
                        next.answer->stamp.position >= leads->stamp.position;
+    if (ready && !g.primary_asked_again) {
+        // Writes that were in progress when the switch began may have run since the first answer.
+        g.primary_asked_again = true;
+        g.instances[primary->index].asked = true;
+        call(g, primary->index, call_purpose::survey, status_query{}, false, now, out);
+        return;
+    }
+    if (g.primary_asked_again && g.instances[primary->index].asked) {
+        return;
+    }
     if (ready) {
         start_attempt(g, g.successor, now, out);
         return;
--- a/src/failover_promotion.cc
+++ b/src/failover_promotion.cc
@@ -139,6 +139,8 @@
 void failover::promote_answered(group& g, const control_result* result, instant now,
                                 action_list& out) {
     const endpoint_id chosen = g.instances[g.attempt.chosen].id;
+    // A write that ran after the last poll leaves the old primary with the most complete log.
+    const bool missed = !g.attempt.successor.empty() && g.attempt.successor != chosen;
     if (result != nullptr && result->accepted) {
         const group_view promoted{g.attempt.term, chosen};
         if (promoted.term > g.view.term) {
@@ -152,6 +154,11 @@
         }
         announce(g, now, out);
         out.emplace_back(count{"failover", "promoted"});
+        if (missed && g.activity == group_activity::idle && owns_primary(g) &&
+            now < g.switch_until) {
+            g.successor = g.attempt.successor;
+            start_survey(g, detail::survey_purpose::planned_switch, now, out);
+        }
         return;
     }
     // Another instance must not be promoted at this term: the lost answer may hide a success.
