Pace surveys without a majority and keep the stagger of owners

Surveys back off from 250 ms to 1 s while no majority answers. The rank among the owners is computed when the fleet or the primary's owner changes, because next_wakeup is called after every event.

--- a/include/jasminelead/failover.h
+++ b/include/jasminelead/failover.h
@@ -28,6 +28,8 @@
 inline constexpr duration owner_silence_limit = duration::from_ms(1000);
 inline constexpr duration rank_delay = duration::from_ms(300);
 inline constexpr duration survey_interval = duration::from_ms(250);
+/// Longest pause between surveys while no majority answers.
+inline constexpr duration survey_interval_max = duration::from_ms(1000);
 inline constexpr duration backoff_min = duration::from_ms(20);
 inline constexpr duration backoff_max = duration::from_ms(80);
 inline constexpr duration fence_retry_min = duration::from_ms(100);
@@ -106,7 +108,9 @@
     term_number highest_term = 0;
     std::vector<group_instance> instances;  ///< In order of their names.
     host_id primary_owner;
-    bool active = false;  ///< This daemon owns an endpoint of the group.
+    duration replica_stagger;  ///< Delay of this daemon among the owners of replicas.
+    duration owner_stagger;    ///< Delay of this daemon among all owners.
+    bool active = false;       ///< This daemon owns an endpoint of the group.
     bool changed = false;
     std::vector<pending_call> calls;
 
@@ -129,6 +133,7 @@
     survey_purpose purpose = survey_purpose::discover;
     std::uint64_t round = 0;
     instant resume_at;
+    duration survey_pause = failover_timing::survey_interval;
     bool retrying = false;  ///< An attempt of this daemon failed; its outcome may be open.
     std::optional<instant> leaderless_since;
     promotion_attempt attempt;
@@ -220,7 +225,7 @@
     void monitor(group& g, instant now, action_list& out);
     void monitor_primary(group& g, instant now, action_list& out);
     void monitor_owner(group& g, instant now, action_list& out);
-    [[nodiscard]] instant candidate_due(const group& g) const;
+    [[nodiscard]] static instant candidate_due(const group& g);
     [[nodiscard]] duration stagger(const group& g, bool with_primary_owner) const;
     void suspect(group& g, endpoint_error error, instant now, action_list& out);
     void probe_failed(group& g, endpoint_error error, instant now, action_list& out);
--- a/src/failover.cc
+++ b/src/failover.cc
@@ -193,6 +193,8 @@
         ++g.round;
     }
     find_primary_owner(g, now);
+    g.replica_stagger = stagger(g, false);
+    g.owner_stagger = stagger(g, true);
 }
 
 void failover::find_primary_owner(group& g, instant now) {
@@ -202,6 +204,8 @@
         return;
     }
     g.primary_owner = found;
+    g.replica_stagger = stagger(g, false);
+    g.owner_stagger = stagger(g, true);
     g.owner_heard = now;
     g.owner_failed = false;
     g.next_query = now;
@@ -224,6 +228,7 @@
     g.primary_alive = now;
     g.primary_heard = now;
     g.leaderless_since.reset();
+    g.survey_pause = survey_interval;
     g.owner_heard = now;
     g.next_leaving_switch = now;
     g.probing = false;
--- a/src/failover_detection.cc
+++ b/src/failover_detection.cc
@@ -86,8 +86,8 @@
     return rank_delay * rank;
 }
 
-instant failover::candidate_due(const group& g) const {
-    return std::max(g.owner_heard, g.primary_heard) + owner_silence_limit + stagger(g, false);
+instant failover::candidate_due(const group& g) {
+    return std::max(g.owner_heard, g.primary_heard) + owner_silence_limit + g.replica_stagger;
 }
 
 void failover::on_connection_error(const endpoint_id& endpoint, endpoint_error error, instant now,
@@ -145,6 +145,7 @@
     g.probing = false;
     g.retrying = false;
     g.leaderless_since.reset();
+    g.survey_pause = survey_interval;
     ++g.round;
 }
 
@@ -218,7 +219,8 @@
         return;
     }
     if (!majority) {
-        wait(g, now + survey_interval);
+        wait(g, now + g.survey_pause);
+        g.survey_pause = std::min(g.survey_pause * 2, survey_interval_max);
     } else if (g.view.term == 0 || g.highest_term > g.view.term) {
         evaluate_leaderless(g, now, out);
     } else {
@@ -247,7 +249,7 @@
         out.emplace_back(log_state{"group " + g.id.str() + ": no primary at term " +
                                    std::to_string(g.highest_term)});
     }
-    const instant due = *g.leaderless_since + owner_silence_limit + stagger(g, true);
+    const instant due = *g.leaderless_since + owner_silence_limit + g.owner_stagger;
     const bool lost_before = g.view.term != 0 && !owns_primary(g) && now >= candidate_due(g);
     if (g.retrying || lost_before || now >= due) {
         begin_promotion(g, now, out);
@@ -272,7 +274,7 @@
     if (heard) {
         // The primary lives and this daemon is the one that is cut off.
         out.emplace_back(count{"failover", "cut_off"});
-        wait(g, now + probe_interval);
+        wait(g, now + survey_interval);
         return;
     }
     out.emplace_back(log_state{"group " + g.id.str() + ": primary is silent"});
