--- a/include/jasminelead/failover.h
+++ b/include/jasminelead/failover.h
@@ -30,6 +30,8 @@
 inline constexpr duration owner_silence_limit = duration::from_ms(1000);
 inline constexpr duration rank_delay = duration::from_ms(300);
 inline constexpr duration survey_interval = duration::from_ms(250);
+/// Longest pause between surveys while no majority answers.
+inline constexpr duration survey_interval_max = duration::from_ms(1000);
 inline constexpr duration backoff_min = duration::from_ms(20);
 inline constexpr duration backoff_max = duration::from_ms(80);
 inline constexpr duration fence_retry_min = duration::from_ms(100);
@@ -41,7 +43,7 @@
 inline constexpr duration replica_check_interval = duration::from_ms(10'000);
 /// A planned switch is given up when the successor has not caught up by then.
 inline constexpr duration switch_limit = duration::from_ms(1000);
-inline constexpr duration switch_poll_min = duration::from_ms(2);
+inline constexpr duration switch_poll_min = duration::from_ms(0.5);
 inline constexpr duration switch_poll_max = duration::from_ms(20);
 /// Pause between planned switches away from a primary that is leaving.
 inline constexpr duration leaving_switch_interval = duration::from_ms(5000);
@@ -108,7 +110,9 @@
     term_number highest_term = 0;
     std::vector<group_instance> instances;  ///< In order of their names.
     host_id primary_owner;
-    bool active = false;  ///< This daemon owns an endpoint of the group.
+    duration replica_stagger;  ///< Delay of this daemon among the owners of replicas.
+    duration owner_stagger;    ///< Delay of this daemon among all owners.
+    bool active = false;       ///< This daemon owns an endpoint of the group.
     bool changed = false;
     std::vector<control_attempt> calls;
 
@@ -131,12 +135,14 @@
     survey_purpose purpose = survey_purpose::discover;
     std::uint64_t round = 0;
     instant resume_at;
+    duration survey_pause = failover_timing::survey_interval;
     bool retrying = false;  ///< An attempt of this daemon failed; its outcome may be open.
     std::optional<instant> leaderless_since;
     promotion_attempt attempt;
 
     endpoint_id successor;
     instant switch_until;
+    bool primary_asked_again = false;
     duration switch_pause = failover_timing::switch_poll_min;
     instant next_leaving_switch;
 };
@@ -222,7 +228,7 @@
     void monitor(group& g, instant now, action_list& out);
     void monitor_primary(group& g, instant now, action_list& out);
     void monitor_owner(group& g, instant now, action_list& out);
-    [[nodiscard]] instant candidate_due(const group& g) const;
+    [[nodiscard]] static instant candidate_due(const group& g);
     [[nodiscard]] duration stagger(const group& g, bool with_primary_owner) const;
     void suspect(group& g, endpoint_error error, instant now, action_list& out);
     void probe_failed(group& g, endpoint_error error, instant now, action_list& out);
