Claim at once from a holder without connections

A live holder is waited for because it may be finishing its work. One without connections has none, for example after a restart, and waiting 11 s for it would only delay the new owner. The deadline of a call is bounded by the longest timeout of a caller, whatever a peer sends.

--- a/include/jasminelead/endpoint_claim.h
+++ b/include/jasminelead/endpoint_claim.h
@@ -43,7 +43,7 @@
     void retry_later(core_context& context, instant now);
     change on_result(core_context& context, const control_result& result, instant now);
     change on_status(core_context& context, const endpoint_state& state, instant now);
-    [[nodiscard]] bool must_wait_for(const core_context& context, const host_id& holder,
+    [[nodiscard]] bool must_wait_for(const core_context& context, const endpoint_state& state,
                                      instant now);
     change acquire(epoch_number epoch, instant now);
 
--- a/src/endpoint_claim.cc
+++ b/src/endpoint_claim.cc
@@ -122,7 +122,7 @@
 
 endpoint_claim::change endpoint_claim::on_status(core_context& context, const endpoint_state& state,
                                                  instant now) {
-    if (must_wait_for(context, state.owner, now)) {
+    if (must_wait_for(context, state, now)) {
         m_next_attempt = now + handover_poll;
         return change::none;
     }
@@ -132,11 +132,12 @@
     return change::none;
 }
 
-bool endpoint_claim::must_wait_for(const core_context& context, const host_id& holder,
+bool endpoint_claim::must_wait_for(const core_context& context, const endpoint_state& state,
                                    instant now) {
-    const bool releases =
-        !holder.empty() && holder != context.self &&
-        (context.fleet->host(holder) != nullptr || context.leaving.contains(holder));
+    const host_id& holder = state.owner;
+    const bool alive = context.fleet->host(holder) != nullptr || context.leaving.contains(holder);
+    // A holder without connections has no work to finish. It may have been restarted.
+    const bool releases = alive && holder != context.self && state.connections_open > 0;
     if (!releases) {
         m_waiting_for = host_id{};
         return false;
--- a/src/owner_run.cc
+++ b/src/owner_run.cc
@@ -10,6 +10,8 @@
 /// A read can be repeated elsewhere, so it does not wait for a silent connection to its deadline.
 constexpr duration read_silence_limit = 2_s;
 constexpr duration leaving_limit = 3_s;
+/// The longest timeout of a caller; a peer cannot make this daemon keep a call for longer.
+constexpr duration longest_timeout = 60_s;
 
 using place = detail::pending_call::place;
 
@@ -51,7 +53,7 @@
     m_now = now;
     pending_call pending;
     pending.from = from;
-    pending.deadline = now + call.remaining;
+    pending.deadline = now + std::min(call.remaining, longest_timeout);
     pending.transaction = in_transaction(call.kind) ? call.transaction.number : 0;
     pending.call = std::move(call);
     const reason why = check_arrival(pending, now);
--- a/test/endpoint_claim_test.cc
+++ b/test/endpoint_claim_test.cc
@@ -91,6 +91,7 @@
 TEST_CASE("a live or leaving holder is waited for, a dead one is not") {
     support::endpoint_model endpoint{entry, endpoint_role::primary, {}};
     REQUIRE(endpoint.control(claim_request{0, host_id{"old"}}, {}).accepted);
+    REQUIRE_FALSE(endpoint.connect(1, 1));
     claimant x{"x"};
     x.context.leaving.insert(host_id{"old"});
     CHECK(x.step(&endpoint, {}) == change::none);
@@ -104,6 +105,10 @@
         x.context.leaving.clear();
         claim_fully(x, endpoint, instant::from_ms(100));
     }
+    SECTION("until it has no connections") {
+        endpoint.disconnect(1);
+        claim_fully(x, endpoint, instant::from_ms(100));
+    }
     SECTION("at most 11 s") {
         claim_fully(x, endpoint, instant::from_ms(11'000));
     }
