Report only a refused connect as refused

An unreachable network, an unknown address or a lack of descriptors was reported as refused, which the core may take as proof that a primary is dead. They are timeouts now.

--- a/daemon/endpoint_client.cc
+++ b/daemon/endpoint_client.cc
@@ -12,6 +12,8 @@
 
 namespace json = boost::json;
 
+// An endpoint that left the host list may still be alive, so it does not count as refused.
+constexpr endpoint_error unknown_address = endpoint_error::timeout;
 constexpr std::size_t most_idle_control_connections = 4;
 
 std::optional<control_result> parse_control_result(const std::string& body) {
@@ -43,8 +45,7 @@
     }
     const auto address = m_addresses.address_of(request.endpoint);
     if (!address) {
-        emit(m_events,
-             connection_failed{request.endpoint, request.connection, endpoint_error::refused});
+        emit(m_events, connection_failed{request.endpoint, request.connection, unknown_address});
         return;
     }
     const connection_key key{request.endpoint, request.connection};
@@ -85,7 +86,7 @@
 std::variant<control_result, endpoint_error> endpoint_client::perform(const control_call& request) {
     const auto address = m_addresses.address_of(request.endpoint);
     if (!address) {
-        return endpoint_error::refused;
+        return unknown_address;
     }
     const std::string body = json::serialize(to_json(request.request));
     http_call call;
--- a/daemon/http_client.cc
+++ b/daemon/http_client.cc
@@ -1,10 +1,11 @@
 #include "http_client.h"
 
-#include <boost/asio/error.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <utility>
 
+#include "network_error.h"
+
 namespace jasminelead::daemon {
 namespace {
 
@@ -16,19 +17,12 @@
 constexpr std::uint64_t most_response_bytes = std::uint64_t{4} * 1024 * 1024;
 
 endpoint_error translate(const boost::system::error_code& error) {
-    if (error == boost::asio::error::timed_out) {
-        return endpoint_error::timeout;
-    }
-    if (error == boost::asio::error::connection_refused ||
-        error == boost::asio::error::host_unreachable ||
-        error == boost::asio::error::network_unreachable) {
-        return endpoint_error::refused;
+    const auto& http_category = http::make_error_code(http::error::bad_version).category();
+    if (error.category() != http_category) {
+        return network_error(error);
     }
-    if (error.category() == http::make_error_code(http::error::bad_version).category() &&
-        error != http::error::partial_message && error != http::error::end_of_stream) {
-        return endpoint_error::protocol;
-    }
-    return endpoint_error::reset;
+    const bool ended = error == http::error::partial_message || error == http::error::end_of_stream;
+    return ended ? endpoint_error::reset : endpoint_error::protocol;
 }
 
 std::string render_request(std::string_view method, std::string_view target, std::string_view host,
@@ -51,7 +45,7 @@
 std::optional<endpoint_error> http_client::connect(std::string_view address, steady_time deadline) {
     const auto to = parse_address(address);
     if (!to) {
-        return endpoint_error::refused;
+        return endpoint_error::timeout;
     }
     m_host = address;
     const auto error = m_stream.connect(*to, deadline);
--- a/daemon/peer_link.cc
+++ b/daemon/peer_link.cc
@@ -9,6 +9,7 @@
 #include <chrono>
 #include <utility>
 
+#include "network_error.h"
 #include "peer_codec.h"
 
 namespace jasminelead::daemon {
@@ -34,16 +35,6 @@
 constexpr std::size_t most_handshake_bytes = 1024;
 constexpr std::string_view head_end = "\r\n\r\n";
 
-endpoint_error translate(const boost::system::error_code& error) {
-    if (error == boost::asio::error::timed_out) {
-        return endpoint_error::timeout;
-    }
-    const bool refused = error == boost::asio::error::connection_refused ||
-                         error == boost::asio::error::host_unreachable ||
-                         error == boost::asio::error::network_unreachable;
-    return refused ? endpoint_error::refused : endpoint_error::reset;
-}
-
 steady_time forget_time(duration remaining) {
     return steady_clock::now() + std::chrono::microseconds{remaining.us()} + reply_grace;
 }
@@ -87,7 +78,7 @@
             return;
         }
         if (error) {
-            self->lose(translate(error));
+            self->lose(network_error(error));
             return;
         }
         self->start();
@@ -210,7 +201,7 @@
         const std::string batch = next_batch();
         const auto error = m_stream->write(boost::asio::buffer(batch), no_deadline);
         if (error) {
-            lose(translate(error));
+            lose(network_error(error));
         }
     }
 }
@@ -238,7 +229,7 @@
             m_last_heard = steady_clock::now();
         }
         if (error) {
-            lose(translate(error));
+            lose(network_error(error));
         }
     }
 }
--- a/test/endpoint_client_test.cc
+++ b/test/endpoint_client_test.cc
@@ -148,6 +148,15 @@
     CHECK(opened->connection == 2);
 }
 
+// Guards against a promotion because an endpoint is missing in the host list.
+TEST_CASE("an endpoint without an address is not reported as dead") {
+    fixture f{"127.0.0.1:1"};
+    f.on_worker([&] { f.client.open({endpoint_id{"stranger"}, 1, 0}); });
+    CHECK(f.events.next<connection_failed>()->error == endpoint_error::timeout);
+    f.on_worker([&] { f.client.call({{}, endpoint_id{"stranger"}, status_query{}, true, 5_s}); });
+    CHECK(error_of(f.events.next<control_answered>()) == endpoint_error::timeout);
+}
+
 TEST_CASE("control calls reuse their connection unless a new one is asked for") {
     scripted_server server{[](std::string_view, const std::string&) { return state_answer(); }};
     fixture f{server.address()};
