--- a/include/jasminelead/entry.h
+++ b/include/jasminelead/entry.h
@@ -66,7 +66,6 @@
     std::optional<reason> unknown;  ///< Set once an attempt may have run.
     budget_rule budget = budget_rule::exempt;
     unsigned attempts = 0;
-    unsigned waits = 0;
     bool has_session = false;  ///< False until the token was found authentic.
     bool avoid_last = false;   ///< The next read should use another endpoint.
     bool waited_for_replica = false;
--- a/include/jasminelead/router.h
+++ b/include/jasminelead/router.h
@@ -117,6 +117,7 @@
     };
 
     group_plan& plan(const group_id& group);
+    void forget_absent();
     void rebuild(group_plan& plan, const group_id& group);
     route choose_primary(const read_requirements& read, const group_plan& plan, route_cause cause,
                          instant now) const;
--- a/src/entry.cc
+++ b/src/entry.cc
@@ -15,8 +15,6 @@
 
 constexpr std::size_t traces_kept = 1024;
 constexpr duration query_interval = 50_ms;
-constexpr duration budget_wait = 100_ms;
-constexpr duration shortest_pause = 1_ms;
 constexpr duration history_wait = 200_ms;
 
 bool is_read(const pending_request& p) {
@@ -203,11 +201,17 @@
 }
 
 void entry::plan_write(pending& p, instant now, action_list& out) {
-    const endpoint_id primary = m_groups.view(p.request.group).primary;
-    if (primary.empty()) {
+    const group_view& view = m_groups.view(p.request.group);
+    const session_entry* written =
+        m_context.enabled.token_check ? p.session.find(p.request.group) : nullptr;
+    // A session that wrote in a later term proves that this primary is superseded. A write sent to
+    // it would end unconfirmed.
+    const bool is_superseded = written != nullptr && written->term > view.term;
+    if (view.primary.empty() || is_superseded) {
         wait_for_view(p, reason::no_primary, now, out);
         return;
     }
+    const endpoint_id primary = view.primary;
     dispatch(p, primary, false, "primary", now, out);
 }
 
@@ -264,7 +268,7 @@
         p.budget == budget_rule::wait && p.last && !is_same_target(*p.last, next);
     if (p.budget != budget_rule::exempt && !is_new_target && !m_budget.take(now)) {
         if (p.budget == budget_rule::wait) {
-            wait(p, p.retried_for, now + budget_wait, out);
+            wait_for_view(p, p.retried_for, now, out);
         } else if (std::holds_alternative<not_run>(p.failure)) {
             finish(p, not_run{reason::retry_budget, std::string{to_string(p.retried_for)}}, out);
         } else {
@@ -325,9 +329,8 @@
 
 void entry::wait_for_view(pending& p, reason why, instant now, action_list& out) {
     query_group(p.request.group, now, out);
-    const duration pause =
-        std::clamp(backoff(p.waits++, m_context.random), shortest_pause, query_interval);
-    wait(p, why, now + pause, out);
+    // Waking at the next query keeps the queries going as long as a request waits.
+    wait(p, why, m_queried.at(p.request.group) + query_interval, out);
 }
 
 /// All waiting requests of a group share one pace, so that a long failover does not flood the
--- a/src/router.cc
+++ b/src/router.cc
@@ -150,7 +150,10 @@
 
 router::group_plan& router::plan(const group_id& group) {
     if (m_fleet != m_context.fleet || m_config != m_context.config) {
-        m_fleet = m_context.fleet;
+        if (m_fleet != m_context.fleet) {
+            m_fleet = m_context.fleet;
+            forget_absent();
+        }
         m_config = m_context.config;
         ++m_generation;
     }
@@ -161,6 +164,14 @@
     return found;
 }
 
+void router::forget_absent() {
+    std::erase_if(m_records, [this](const auto& record) {
+        return m_fleet->endpoint(record.first) == nullptr;
+    });
+    std::erase_if(m_plans,
+                  [this](const auto& each) { return m_fleet->endpoints_of(each.first).empty(); });
+}
+
 void router::rebuild(group_plan& plan, const group_id& group) {
     plan.generation = m_generation;
     plan.members.clear();
@@ -212,8 +223,10 @@
 
 route router::choose_primary(const read_requirements& read, const group_plan& plan,
                              route_cause cause, instant now) const {
+    // A session that wrote in a later term proves that this primary is superseded.
+    const bool is_superseded = read.session != nullptr && read.session->term > read.view.term;
     for (const member& each : plan.members) {
-        if (each.entry->id != read.view.primary) {
+        if (each.entry->id != read.view.primary || is_superseded) {
             continue;
         }
         // An answer of a primary that was superseded unnoticed has no bound on its age. Without a
@@ -236,7 +249,8 @@
     // more than that.
     const bool sent_lately =
         plan.refreshed && now - *plan.refreshed < std::max(read.max_age / 4, shortest_refresh);
-    if (sent_lately || is_avoided(read, read.view.primary)) {
+    const bool is_superseded = read.session != nullptr && read.session->term > read.view.term;
+    if (sent_lately || is_superseded || is_avoided(read, read.view.primary)) {
         return false;
     }
     for (const member& each : plan.members) {
@@ -366,8 +380,12 @@
 void router::on_stamp(const endpoint_id& endpoint, const position_stamp& stamp, instant earliest,
                       instant latest) {
     const endpoint_entry* entry = m_context.fleet->endpoint(endpoint);
+    if (entry == nullptr) {
+        return;
+    }
+    group_plan& group = plan(entry->group);
     endpoint_record& record = m_records[endpoint];
-    if (entry == nullptr || (record.stamp && latest < record.stamped)) {
+    if (record.stamp && latest < record.stamped) {
         return;
     }
     if (record.stamp && record.stamp->log_term == stamp.log_term) {
@@ -379,7 +397,6 @@
     }
     record.stamp = stamp;
     record.stamped = latest;
-    group_plan& group = plan(entry->group);
     if (stamp.role == endpoint_role::primary) {
         record_seen(group.seen, stamp.log_term, stamp.position, latest);
         return;
--- a/test/entry_test.cc
+++ b/test/entry_test.cc
@@ -1,6 +1,9 @@
 #include "jasminelead/entry.h"
 
+#include <rapidcheck.h>
+
 #include <catch2/catch.hpp>
+#include <map>
 
 using namespace jasminelead;
 using namespace jasminelead::literals;
@@ -234,6 +237,19 @@
     CHECK(sent<group_query>().size() >= 24);
 }
 
+TEST_CASE_METHOD(fixture,
+                 "nothing is sent to a primary that the session's token shows superseded") {
+    for (caller_request each : {read(session_at(2, 12)), write()}) {
+        each.session = session_at(2, 12);
+        request(each, ms(0));
+    }
+    CHECK(calls() == 0);
+    groups.present = {2, b};
+    tested->on_view_changed(group, ms(5), out);
+    CHECK(calls() == 2);
+    CHECK(last_endpoint() == b);
+}
+
 TEST_CASE_METHOD(fixture, "a report with a new view releases waiting writes") {
     groups.present = {1, {}};
     request(write(), ms(0));
@@ -504,3 +520,90 @@
                                                       "sent to b, primary"});
     CHECK(tested->explain(6).empty());
 }
+
+namespace {
+
+/// Applies random answers, link failures and views to random requests.
+struct random_run : fixture {
+    std::map<request_id, caller_request> asked;
+    std::map<request_id, int> replies;
+    std::size_t seen = 0;
+    log_position position = 0;
+    double now = 0;
+
+    void ask(int choice) {
+        caller_request each = choice % 3 == 0 ? read() : write();
+        each.id = asked.size() + 1;
+        each.text = std::to_string(each.id);
+        each.idempotent = choice % 3 == 1;
+        asked[each.id] = each;
+        request(each, ms(now));
+    }
+    void fail_or_answer(int choice) {
+        if (calls() == 0) {
+            return;
+        }
+        // Any earlier call, so that some answers are late.
+        const auto all_calls = sent<statement_call>();
+        const auto& [owner, call] =
+            all_calls[static_cast<std::size_t>(choice / 8) % all_calls.size()];
+        statement_reply reply{call.id, call.endpoint, done{"{}"}, {}, {}, {}};
+        switch (choice % 8) {
+            case 0:
+                tested->on_peer_failed({owner, endpoint_error::reset}, ms(now), out);
+                return;
+            case 1:
+                tested->on_peer_unsent({owner, call.id}, ms(now), out);
+                return;
+            case 2:
+                reply.result = unknown_outcome{reason::connection_lost, ""};
+                break;
+            case 3:
+                reply.result = not_run{reason::not_primary, ""};
+                reply.view = group_view{groups.present.term + 1, b};
+                groups.history.push({groups.present.term + 1, position});
+                break;
+            case 4:
+                reply.result = not_run{reason::statement_error, ""};
+                break;
+            default:
+                reply.stamp = call.read ? replica(groups.present.term, position)
+                                        : primary(groups.present.term, ++position);
+        }
+        tested->on_reply(owner, std::move(reply), ms(now), out);
+    }
+    /// Checks what the entry did since the last call.
+    void inspect() {
+        for (; seen < out.size(); ++seen) {
+            if (const auto* reply = std::get_if<caller_reply>(&out[seen])) {
+                RC_ASSERT(++replies[reply->id] == 1);
+            }
+        }
+    }
+};
+
+}  // namespace
+
+TEST_CASE("each request gets exactly one reply whatever happens to its calls") {
+    // The strict invariants abort when a write that may have run is sent again, or when a request
+    // that may have run is called not run.
+    const bool holds = rc::check([](const std::vector<std::uint16_t>& choices) {
+        random_run run;
+        for (const std::uint16_t choice : choices) {
+            run.now += choice % 7;
+            if (choice % 4 == 0) {
+                run.ask(choice / 4);
+            } else {
+                run.fail_or_answer(choice / 4);
+            }
+            run.tested->tick(ms(run.now), run.out);
+            run.inspect();
+        }
+        run.run_until(ms(run.now + 2'000));
+        run.inspect();
+        RC_ASSERT(run.tested->in_progress() == 0);
+        RC_ASSERT(run.replies.size() == run.asked.size());
+        RC_ASSERT(!run.tested->next_wakeup());
+    });
+    CHECK(holds);
+}
