Key connections of the testbed by the life that opened them

Cause: a statement of a host that lost power was removed under the key of the host's next life, so the slot count of its endpoint stayed too high. Change: the key takes the life of the event. Conclusion: a fault of the testbed, not of the core.

--- a/support/testbed.cc
+++ b/support/testbed.cc
@@ -396,7 +396,7 @@
         if (client.life != life || !client.core) {
             return;
         }
-        const connection_id key = connection_key(client, open.connection);
+        const connection_id key = connection_key(client, life, open.connection);
         const auto error = endpoint.up ? endpoint.model->connect(key, open.epoch)
                                        : std::optional{endpoint_error::refused};
         if (!error) {
@@ -415,19 +415,21 @@
 
 void testbed::act(host_node& from, const close_connection& close) {
     from.connections.erase(close.connection);
-    schedule(within_data_centre, [this, close, key = connection_key(from, close.connection)] {
-        endpoint_node& target = node(close.endpoint);
-        target.model->disconnect(key);
-        target.clients.erase(key);
-        target.running.erase(key);
-    });
+    schedule(within_data_centre,
+             [this, close, key = connection_key(from, from.life, close.connection)] {
+                 endpoint_node& target = node(close.endpoint);
+                 target.model->disconnect(key);
+                 target.clients.erase(key);
+                 target.running.erase(key);
+             });
 }
 
 /// Connection numbers are unique in one life of a daemon only.
-connection_id testbed::connection_key(const host_node& client, connection_id connection) const {
+connection_id testbed::connection_key(const host_node& client, std::uint64_t life,
+                                      connection_id connection) {
     constexpr unsigned index_shift = 56;
     constexpr unsigned life_shift = 40;
-    return (client.index << index_shift) | (client.life << life_shift) | connection;
+    return (client.index << index_shift) | (life << life_shift) | connection;
 }
 
 void testbed::act(host_node& from, run_statement run) {
@@ -441,7 +443,7 @@
 void testbed::start_statement(const host_id& from, std::uint64_t life, run_statement run) {
     endpoint_node& target = node(run.endpoint);
     const host_node& client = node(from);
-    const connection_id key = connection_key(client, run.connection);
+    const connection_id key = connection_key(client, life, run.connection);
     const bool cut = !reachable(client.entry.data_centre, target.entry.data_centre);
     if (!target.up || target.silent || cut || client.life != life ||
         target.silent_connections.contains(key) || !target.model->is_open(key)) {
@@ -457,7 +459,7 @@
 void testbed::finish_statement(const host_id& from, std::uint64_t life, const run_statement& run) {
     endpoint_node& target = node(run.endpoint);
     const host_node& client = node(from);
-    const connection_id key = connection_key(client, run.connection);
+    const connection_id key = connection_key(client, life, run.connection);
     if (target.stalled) {
         target.waiting.emplace_back([this, from, life, run] { finish_statement(from, life, run); });
         return;
@@ -635,7 +637,7 @@
     target.inbox.clear();
     target.outstanding.clear();
     for (auto& [connection, endpoint] : std::exchange(target.connections, {})) {
-        const connection_id key = connection_key(target, connection);
+        const connection_id key = connection_key(target, target.life, connection);
         endpoint_node& at = node(endpoint);
         at.clients.erase(key);
         if (connections_closed) {
--- a/support/testbed.h
+++ b/support/testbed.h
@@ -146,8 +146,8 @@
     void act(host_node& from, const drain_finished& /*item*/);
     void start_statement(const host_id& from, std::uint64_t life, run_statement run);
     void finish_statement(const host_id& from, std::uint64_t life, const run_statement& run);
-    [[nodiscard]] connection_id connection_key(const host_node& client,
-                                               connection_id connection) const;
+    [[nodiscard]] static connection_id connection_key(const host_node& client, std::uint64_t life,
+                                                      connection_id connection);
     void lose_dropped_connections(endpoint_node& target);
     void fail_peer(host_node& from, const host_id& to, endpoint_error error,
                    std::optional<call_id> unsent);
