End idle transactions sooner while calls wait for their connections

Change: while calls wait with a free slot, a transaction ends after 5 s without a statement; draining hosts are named to the claims, so that they are waited for. Callers of the soak roll back most of what they cannot finish, and the balancer uses readiness.

--- a/include/jasminelead/membership.h
+++ b/include/jasminelead/membership.h
@@ -122,6 +122,7 @@
     void forget_replaced(const std::vector<host_entry>& hosts);
     void merge_endpoints(const std::vector<endpoint_entry>& endpoints, instant now);
     [[nodiscard]] bool is_in_fleet(const member& item, instant now) const;
+    [[nodiscard]] static bool is_leaving(const member& item);
     void update_fleet(instant now);
 
     core_context& m_context;
--- a/include/jasminelead/owner.h
+++ b/include/jasminelead/owner.h
@@ -175,6 +175,7 @@
     // Time, ownership
     void expire(endpoint& at, instant now, action_list& out);
     void expire_running(endpoint& at, instant now, action_list& out);
+    [[nodiscard]] duration idle_limit_of(const endpoint& at) const;
     void expire_transactions(endpoint& at, instant now, action_list& out);
     void expire_confirming(instant now, action_list& out);
     void step(endpoint& at, instant now, action_list& out);
--- a/src/membership_fleet.cc
+++ b/src/membership_fleet.cc
@@ -100,11 +100,20 @@
     return item.entry && item.entry->state == member_state::live && live && now >= item.held_until;
 }
 
+/// A host that drains holds its claims until its work is finished.
+bool membership::is_leaving(const member& item) {
+    const bool listed_leaving = item.entry && item.entry->state == member_state::leaving;
+    return item.state == liveness::left || (listed_leaving && item.state != liveness::dead);
+}
+
 void membership::update_fleet(instant now) {
     std::vector<host_entry> hosts;
+    m_context.leaving.clear();
     for (const auto& [host, item] : m_members) {
         if (is_in_fleet(item, now)) {
             hosts.push_back(*item.entry);
+        } else if (is_leaving(item)) {
+            m_context.leaving.insert(host);
         }
     }
     const host_entry self =
--- a/src/owner.cc
+++ b/src/owner.cc
@@ -12,6 +12,8 @@
 constexpr duration handover_limit = 10_s;
 /// A transaction without a statement for this long holds a connection for nobody.
 constexpr duration transaction_idle_limit = 30_s;
+/// The same while other calls wait for a connection. Callers that gave up must not block the rest.
+constexpr duration contended_idle_limit = 5_s;
 constexpr duration lost_transaction_memory = 60_s;
 constexpr std::size_t most_lost_transactions = 1024;
 constexpr duration leaving_limit = 3_s;
@@ -381,19 +383,25 @@
     }
 }
 
+duration owner::idle_limit_of(const endpoint& at) const {
+    // With a free slot, what waits in the queue waits for a connection.
+    const bool contended = at.queue.size() > 0 && at.running < limits(at).slots;
+    return contended ? contended_idle_limit : transaction_idle_limit;
+}
+
 void owner::expire_transactions(endpoint& at, instant now, action_list& out) {
     if (at.transactions.empty()) {
         return;
     }
     const group_view view = m_groups.view(at.group);
     const bool moved = !view.primary.empty() && view.primary != at.id;
+    const duration idle_limit = idle_limit_of(at);
     std::vector<std::uint64_t> ended;
     for (const auto& [number, transaction] : at.transactions) {
         // A statement that runs is left to its answer: only the endpoint knows its outcome.
         const pooled_connection* connection = at.pool.find(transaction.connection);
         const bool runs = connection != nullptr && connection->call != 0;
-        const bool idle =
-            transaction.call == 0 && transaction.last_used + transaction_idle_limit <= now;
+        const bool idle = transaction.call == 0 && transaction.last_used + idle_limit <= now;
         if (idle || (!runs && (moved || transaction.term != view.term))) {
             ended.push_back(number);
         }
@@ -449,7 +457,7 @@
     }
     for (const auto& [number, transaction] : at.transactions) {
         if (transaction.call == 0) {
-            consider(transaction.last_used + transaction_idle_limit);
+            consider(transaction.last_used + idle_limit_of(at));
         }
     }
     consider(at.handover_until);
--- a/support/soak.cc
+++ b/support/soak.cc
@@ -25,6 +25,19 @@
     "stop_store",       "lose_store_answers", "edit_table",          "switch_primary",
     "leave_endpoint"};
 
+std::string describe(const std::optional<caller_reply>& reply) {
+    struct visitor {
+        std::string operator()(const done& /*unused*/) const { return "done"; }
+        std::string operator()(const not_run& item) const {
+            return "not run, " + std::string{to_string(item.why)};
+        }
+        std::string operator()(const unknown_outcome& item) const {
+            return "unknown, " + std::string{to_string(item.why)};
+        }
+    };
+    return reply ? std::visit(visitor{}, reply->result) : "no answer";
+}
+
 class soak_run {
 public:
     soak_run(const soak_options& options, std::span<const fault> faults)
@@ -234,8 +247,13 @@
         request.service = service_id{"web"};
         request.text = "set check " + host.str();
         request.timeout = 1_s;
-        m_bed.submit(host, std::move(request), [this](const auto& reply) {
-            m_served += reply && std::holds_alternative<done>(reply->result) ? 1 : 0;
+        m_bed.submit(host, std::move(request), [this, host, group](const auto& reply) {
+            if (reply && std::holds_alternative<done>(reply->result)) {
+                ++m_served;
+            } else {
+                m_broken.push_back("no write of " + group.str() + " on " + host.str() +
+                                   " after the recovery: " + describe(reply));
+            }
         });
     }
 
--- a/support/testbed.cc
+++ b/support/testbed.cc
@@ -797,7 +797,7 @@
 
 bool testbed::is_up(const host_id& host) const {
     const host_node& target = *m_hosts.at(host);
-    return target.core && !target.paused && !target.drained;
+    return target.core && !target.paused && !target.drained && target.core->ready();
 }
 
 kernel* testbed::kernel_of(const host_id& host) {
--- a/support/workload.cc
+++ b/support/workload.cc
@@ -238,11 +238,22 @@
             execute_next(caller, transaction, index + 1);
         } else {
             transaction->refused = true;
-            next(caller);
+            give_up(caller, transaction);
         }
     });
 }
 
+/// Some callers roll back what they cannot finish, others just go on.
+void workload::give_up(session& caller, const std::shared_ptr<write>& transaction) {
+    if (chance(0.2)) {
+        next(caller);
+        return;
+    }
+    caller_request rollback = request(caller, request_kind::rollback);
+    rollback.transaction = transaction->handle;
+    send(caller, std::move(rollback), [this, &caller](const auto&) { next(caller); });
+}
+
 void workload::commit(session& caller, const std::shared_ptr<write>& transaction) {
     caller_request commit = request(caller, request_kind::commit);
     commit.transaction = transaction->handle;
