--- a/test/failover_test.cc
+++ b/test/failover_test.cc
@@ -929,3 +929,15 @@
         CHECK_FALSE(w.daemons["a"].groups->writes_held(shows));
     }
 }
+
+TEST_CASE("a complete copy of a newer term outranks a record of an older one") {
+    // Guards against choosing a superseded primary's unconfirmed record over a log that was read
+    // from under a newer term, and against trusting a copy that is not complete.
+    endpoint_state state;
+    state.stamp = {4, 1, 5, endpoint_role::replica};
+    state.terms.push({1, 0});
+    state.terms.push({3, 5});
+    CHECK(complete_term(state) == 3);
+    state.stamp.position = 4;
+    CHECK(complete_term(state) == 1);
+}
