Add make bench, which measures a real installation on loopback

The aims of docs/design.md 1.2 had no measurement on real processes. jasminelead-load starts the installation of support/fleet.h and measures read latency, throughput of one core, memory of idle connections and processor time of idle daemons.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 SEEDS ?= 1000
 FROM ?= 1
 
-.PHONY: all check build packages demo soak format
+.PHONY: all check build packages demo bench soak format
 
 all: build
 
@@ -20,6 +20,9 @@
 demo: build
 	$(BUILD)/jasminelead-demo
 
+bench: build
+	$(BUILD)/jasminelead-load
+
 soak: build
 	$(BUILD)/jasminelead-soak --seeds $(SEEDS) --from $(FROM)
 
--- a/support/fleet.h
+++ b/support/fleet.h
@@ -22,6 +22,9 @@
     int ctl(const std::vector<std::string>& arguments) const;
 
     [[nodiscard]] const std::vector<std::string>& daemons() const { return m_daemon_addresses; }
+    [[nodiscard]] const std::string& endpoint_address(const std::string& name) const {
+        return m_endpoint_addresses.at(name);
+    }
     process& daemon(std::size_t index) { return m_daemons.at(index); }
     process& endpoint(const std::string& name) { return m_endpoints.at(name); }
     void restart_daemon(std::size_t index);
--- a/support/process.h
+++ b/support/process.h
@@ -19,6 +19,7 @@
     process(const process&) = delete;
     process& operator=(const process&) = delete;
 
+    [[nodiscard]] pid_t id() const { return m_pid; }
     void signal(int number) const;
     /// Waits for the end; the exit code, or -1 when a signal ended it.
     int wait();
