--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 SEEDS ?= 1000
 FROM ?= 1
 
-.PHONY: all check build packages demo soak format
+.PHONY: all check build packages demo soak capacity format
 
 all: build
 
@@ -23,5 +23,9 @@
 soak: build
 	$(BUILD)/jasminelead-soak --seeds $(SEEDS) --from $(FROM)
 
+# Exits 1 where a figure is over its limit.
+capacity: build
+	$(BUILD)/jasminelead-capacity
+
 format:
 	git ls-files -- '*.h' '*.cc' | xargs clang-format -i
--- /dev/null
+++ b/support/idle_daemon.h
@@ -0,0 +1,112 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "jasminelead/directory.h"
+#include "jasminelead/kernel.h"
+#include "platform_model.h"
+
+/// One kernel in virtual time among fakes that answer at once, so that fleets of any size can be
+/// measured without running them.
+namespace jasminelead::support {
+
+/// The host list and table that the kernel sees.
+struct fleet_shape {
+    std::size_t hosts = 6;
+    std::size_t data_centres = 3;
+    std::size_t groups = 3;
+    std::size_t endpoints_per_group = 3;
+    std::size_t services = 2;
+    /// The daemon is alone in a data centre of its own and owns only the endpoints below.
+    bool alone = false;
+    std::size_t owned_replicas = 0;   ///< One in each of the first groups.
+    std::size_t owned_primaries = 0;  ///< One in each of the first groups.
+    std::size_t self = 0;             ///< Index of the host that is run.
+};
+
+host_list make_fleet(const fleet_shape& shape);
+host_id host_name(std::size_t index);
+group_id group_name(std::size_t index);
+
+enum class traffic_kind { membership, group_queries, heartbeats, table, totals, statements };
+inline constexpr std::size_t traffic_kinds = 6;
+
+struct traffic {
+    std::uint64_t messages = 0;
+    std::uint64_t bytes = 0;
+};
+struct traffic_totals {
+    std::array<traffic, traffic_kinds> sent;
+    std::array<traffic, traffic_kinds> received;
+    std::uint64_t store_calls = 0;
+};
+
+/// Processor time of the kernel and of the peer codec, in ns.
+struct processor_time {
+    std::uint64_t kernel = 0;
+    std::uint64_t codec = 0;
+    std::uint64_t ticks = 0;  ///< Number of ticks.
+    std::uint64_t in_ticks = 0;
+};
+
+class idle_daemon {
+public:
+    /// Encodes and decodes a message as the daemon does; returns the bytes of its frame.
+    using codec = std::function<std::size_t(const peer_message&)>;
+
+    idle_daemon(const fleet_shape& shape, codec frame);
+
+    void run_for(duration span);
+    /// Hands one event to the kernel at the present time.
+    void handle(event input);
+    void answer_statements(bool enabled) { m_answers_statements = enabled; }
+    /// Forgets what was counted so far.
+    void reset_counts();
+    [[nodiscard]] const traffic_totals& counts() const { return m_counts; }
+    [[nodiscard]] const processor_time& used() const { return m_used; }
+    [[nodiscard]] kernel& core() { return *m_kernel; }
+    [[nodiscard]] const directory& fleet() const { return m_fleet; }
+    /// Ends the kernel and frees its memory.
+    void stop() { m_kernel.reset(); }
+
+private:
+    void ask_from_peers();
+    void deliver(duration delay, event input);
+    void receive(const host_id& from, peer_message message);
+    void act(const send_peer& sent);
+    void act(const control_call& call);
+    void act(const store_call& call);
+    void act(const open_connection& open);
+    void act(const caller_reply& /*reply*/) {}
+    void act(const close_connection& /*close*/) {}
+    void act(const run_statement& /*run*/) {}
+    void act(const log_state& /*line*/) {}
+    void act(const count& /*counter*/) {}
+    void act(const drain_finished& /*item*/) {}
+    [[nodiscard]] group_report report_of(const host_id& owner, const group_id& group) const;
+    [[nodiscard]] endpoint_state& state_of(const endpoint_id& id);
+
+    fleet_shape m_shape;
+    codec m_codec;
+    host_id m_self;
+    host_list m_hosts;
+    directory m_fleet;
+    platform_model m_store;
+    std::map<endpoint_id, endpoint_state> m_states;
+    std::unique_ptr<kernel> m_kernel;
+    instant m_now = instant::from_ms(1000);
+    instant m_next_questions = instant::from_ms(1000);
+    std::multimap<instant, event> m_queue;
+    std::size_t m_next_peer = 0;
+    std::uint64_t m_sequence = 1;
+    bool m_answers_statements = false;
+    traffic_totals m_counts;
+    processor_time m_used;
+};
+
+}  // namespace jasminelead::support
