--- a/test/idle_daemon_test.cc
+++ b/test/idle_daemon_test.cc
@@ -43,8 +43,9 @@
     daemon.run_for(10_s);
     daemon.reset_counts();
     daemon.run_for(10_s);
+    // 4 replicas, 20 queries each in 10 s, one more or less at the edges.
     const traffic& queries = sent(daemon, traffic_kind::group_queries);
-    CHECK(queries.messages >= 4 * 19);
-    CHECK(queries.messages <= 4 * 21);
+    CHECK(queries.messages >= 76);
+    CHECK(queries.messages <= 84);
     CHECK(queries.bytes == queries.messages * frame);
 }
