--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,7 @@
 FROM ?= 1
 
 .PHONY: all check build packages demo bench soak format
+.PHONY: all check build packages demo soak capacity format
 
 all: build
 
@@ -26,5 +27,9 @@
 soak: build
 	$(BUILD)/jasminelead-soak --seeds $(SEEDS) --from $(FROM)
 
+# Exits 1 where a figure is over its limit.
+capacity: build
+	$(BUILD)/jasminelead-capacity
+
 format:
 	git ls-files -- '*.h' '*.cc' | xargs clang-format -i
