--- a/Makefile
+++ b/Makefile
@@ -2,8 +2,7 @@
 SEEDS ?= 1000
 FROM ?= 1
 
-.PHONY: all check build packages demo bench soak format
-.PHONY: all check build packages demo soak capacity format
+.PHONY: all check build packages demo bench soak capacity format
 
 all: build
 
--- a/support/idle_daemon.cc
+++ b/support/idle_daemon.cc
@@ -77,6 +77,9 @@
         traffic_kind operator()(const deltas_reply&) const { return traffic_kind::table; }
         traffic_kind operator()(const group_query&) const { return traffic_kind::group_queries; }
         traffic_kind operator()(const group_report&) const { return traffic_kind::group_queries; }
+        traffic_kind operator()(const switchover_requested&) const {
+            return traffic_kind::group_queries;
+        }
     };
     return std::visit(visitor{}, message);
 }
