--- a/daemon/peer_codec.cc
+++ b/daemon/peer_codec.cc
@@ -219,6 +219,9 @@
     if (m.view) {
         out["view"] = write(*m.view);
     }
+    if (!m.holder.empty()) {
+        out["holder"] = m.holder.str();
+    }
 }
 void read_members(json_members& in, statement_reply& m) {
     read(in, "id", m.id);
@@ -231,6 +234,9 @@
     if (in.has("view")) {
         read(in, "view", m.view.emplace());
     }
+    if (in.has("holder")) {
+        m.holder = host_id{name(in, "holder")};
+    }
 }
 
 template <class Ping>
--- a/include/jasminelead/endpoint_claim.h
+++ b/include/jasminelead/endpoint_claim.h
@@ -34,6 +34,8 @@
     [[nodiscard]] bool inactive() const { return m_phase == phase::none && m_call == 0; }
     [[nodiscard]] bool in_hold_down(instant now) const { return now < m_hold_down_until; }
     [[nodiscard]] epoch_number epoch() const { return m_epoch; }
+    /// The holder that the endpoint named last; empty when it was released or never asked.
+    [[nodiscard]] const host_id& holder() const { return m_holder; }
     [[nodiscard]] std::optional<instant> next_wakeup(bool wanted) const;
 
 private:
@@ -59,6 +61,7 @@
     std::uint32_t m_displacements = 0;
     instant m_held_since;
     instant m_hold_down_until;
+    host_id m_holder;
     host_id m_waiting_for;
     instant m_wait_until;
 };
--- a/include/jasminelead/entry.h
+++ b/include/jasminelead/entry.h
@@ -118,6 +118,7 @@
     void wait(pending& p, reason why, instant until, action_list& out);
     void wait_for_view(pending& p, reason why, instant now, action_list& out);
     void stop_waiting(const pending& p);
+    [[nodiscard]] const host_id* owner_for(const endpoint_id& endpoint, instant now) const;
     void query_group(const group_id& group, instant now, action_list& out);
     void release(const group_id& group, bool all, instant now, action_list& out);
 
@@ -150,6 +151,11 @@
     token_codec& m_tokens;
     freshness m_marks;
     router m_router;
+    struct named_holder {
+        host_id host;
+        instant expires;
+    };
+    std::unordered_map<endpoint_id, named_holder> m_holders;  // From not_owner replies.
     retry_budget m_budget;
     std::map<std::uint64_t, pending> m_pending;  // By order of arrival.
     std::unordered_map<std::uint64_t, std::uint64_t> m_calls;
--- a/include/jasminelead/messages.h
+++ b/include/jasminelead/messages.h
@@ -103,6 +103,8 @@
     std::optional<position_stamp> stamp;  ///< Absent when the endpoint did not answer.
     transaction_ref transaction;
     std::optional<group_view> view;  ///< The owner's view of the group.
+    host_id holder =
+        {};  ///< With `not_owner`: who held the claim when last asked; empty if unknown.
 };
 
 // ---- Membership and configuration between daemons -----------------------------------------------
--- a/src/endpoint_claim.cc
+++ b/src/endpoint_claim.cc
@@ -99,6 +99,7 @@
 
 endpoint_claim::change endpoint_claim::on_result(core_context& context,
                                                  const control_result& result, instant now) {
+    m_holder = result.state.owner;
     if (m_phase == phase::none) {
         return on_status(context, result.state, now);
     }
--- a/src/entry.cc
+++ b/src/entry.cc
@@ -11,6 +11,8 @@
 using namespace literals;
 
 constexpr duration reply_margin = 50_ms;
+/// A holder named by a `not_owner` reply is used for this long; ownership may move again.
+constexpr duration holder_lifetime = 1_s;
 using detail::budget_rule;
 using detail::entry_attempt;
 using detail::pending_request;
@@ -244,8 +246,7 @@
 
 void entry::dispatch(pending& p, const endpoint_id& endpoint, bool confirm, std::string_view cause,
                      instant now, action_list& out) {
-    const host_id* owner =
-        p.handle ? &p.handle->transaction.owner : m_context.fleet->owner_of(endpoint);
+    const host_id* owner = p.handle ? &p.handle->transaction.owner : owner_for(endpoint, now);
     if (owner == nullptr) {
         wait_for_view(p, reason::no_owner, now, out);
         return;
@@ -283,6 +284,15 @@
     return true;
 }
 
+/// Daemons whose views of the fleet differ disagree about the owner; the endpoint's holder decides.
+const host_id* entry::owner_for(const endpoint_id& endpoint, instant now) const {
+    const auto named = m_holders.find(endpoint);
+    if (named != m_holders.end() && now < named->second.expires) {
+        return &named->second.host;
+    }
+    return m_context.fleet->owner_of(endpoint);
+}
+
 void entry::send(pending& p, entry_attempt attempt, instant now, action_list& out) {
     attempt.call = m_next_call++;
     statement_call call;
@@ -414,6 +424,13 @@
     } else {
         m_router.on_dropped(attempt.endpoint);
     }
+    const auto* const refused = std::get_if<not_run>(&reply.result);
+    if (refused != nullptr && refused->why == reason::not_owner) {
+        m_holders.erase(attempt.endpoint);
+        if (!reply.holder.empty() && reply.holder != attempt.owner) {
+            m_holders[attempt.endpoint] = {reply.holder, now + holder_lifetime};
+        }
+    }
     if (reply.view) {
         m_groups.on_view(p.request.group, *reply.view, now, out);
     }
@@ -625,6 +642,7 @@
 }
 
 void entry::on_peer_failed(const peer_failed& failure, instant now, action_list& out) {
+    std::erase_if(m_holders, [&](const auto& item) { return item.second.host == failure.peer; });
     std::vector<std::uint64_t> serials;
     for (const auto& [serial, p] : m_pending) {
         if (p.attempt && p.attempt->owner == failure.peer) {
--- a/src/owner_run.cc
+++ b/src/owner_run.cc
@@ -589,8 +589,12 @@
     }
     message.result = std::move(result);
     message.stamp = stamp;
-    if (find(pending.call.endpoint) != nullptr) {
+    if (const endpoint* const at = find(pending.call.endpoint)) {
         message.view = m_groups.view(pending.call.group);
+        const auto* const refused = std::get_if<not_run>(&message.result);
+        if (refused != nullptr && refused->why == reason::not_owner) {
+            message.holder = at->claim.holder();
+        }
     }
     out.emplace_back(send_peer{pending.from, std::move(message)});
 }
--- a/test/endpoint_claim_test.cc
+++ b/test/endpoint_claim_test.cc
@@ -122,6 +122,7 @@
     CHECK(x.step(&endpoint, {}) == change::none);
     CHECK(x.step(&endpoint, {}) == change::none);
     CHECK(x.claim.next_wakeup(true) == instant::from_ms(100));
+    CHECK(x.claim.holder() == host_id{"old"});
     SECTION("until it releases the claim") {
         REQUIRE(endpoint.control(release_request{1}, {}).accepted);
         claim_fully(x, endpoint, instant::from_ms(100));
