--- a/ctl/main.cc
+++ b/ctl/main.cc
@@ -100,7 +100,8 @@
         return run_daemon_command(values, http_client{values.daemon}, std::cout, std::cerr);
     }
     if (command == "check-config") {
-        return fail(usage_error, "the daemon checks its settings: jasminelead --config FILE --check");
+        return fail(usage_error,
+                    "the daemon checks its settings: jasminelead --config FILE --check");
     }
     return fail(usage_error, command.empty() ? "no command; see --help"
                                              : "unknown command " + command + "; see --help");
