Remove broken rulers below section comments

Cause: the formatter had wrapped long section comments into two lines. Change: comments only. Conclusion: no change of behaviour.

--- a/include/jasminelead/table.h
+++ b/include/jasminelead/table.h
@@ -136,7 +136,6 @@
 std::optional<table_snapshot> parse_snapshot(std::string_view text);
 
 // ---- Text
-// -----------------------------------------------------------------------------------------
 
 using text_row = std::vector<std::string>;
 
--- a/src/failover_detection.cc
+++ b/src/failover_detection.cc
@@ -11,7 +11,6 @@
 using detail::survey_purpose;
 
 // ---- Monitoring of a primary that is thought alive
-// ------------------------------------------------
 
 void failover::monitor(group& g, instant now, action_list& out) {
     if (owns_primary(g)) {
@@ -166,7 +165,6 @@
 }
 
 // ---- Surveys
-// ---------------------------------------------------------------------------------------
 
 void failover::start_survey(group& g, survey_purpose purpose, instant now, action_list& out) {
     g.activity = group_activity::surveying;
@@ -282,7 +280,6 @@
 }
 
 // ---- Planned switch
-// --------------------------------------------------------------------------------
 
 void failover::switchover(const switchover_requested& request, instant now, action_list& out) {
     group* g = find(request.group);
