--- a/daemon/fiber_stream.cc
+++ b/daemon/fiber_stream.cc
@@ -1,5 +1,7 @@
 #include "fiber_stream.h"
 
+#include <netinet/tcp.h>
+
 #include <boost/asio/ip/address.hpp>
 #include <charconv>
 #include <string>
@@ -33,6 +35,12 @@
     socket.set_option(tcp::no_delay{true}, ignored);
 }
 
+void limit_unacknowledged(tcp::socket& socket, std::chrono::milliseconds limit) {
+    using user_timeout = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+    boost::system::error_code ignored;
+    socket.set_option(user_timeout{static_cast<int>(limit.count())}, ignored);
+}
+
 fiber_stream::fiber_stream(boost::asio::io_context& io, tcp::socket socket)
     : m_io{io}, m_socket{std::move(socket)} {
     prepare(m_socket);
@@ -95,6 +103,12 @@
     return error == boost::asio::error::would_block;
 }
 
+void fiber_stream::reset() {
+    boost::system::error_code ignored;
+    m_socket.set_option(boost::asio::socket_base::linger{true, 0}, ignored);
+    m_socket.close(ignored);
+}
+
 void fiber_stream::close() {
     boost::system::error_code ignored;
     m_socket.close(ignored);
--- a/daemon/fiber_stream.h
+++ b/daemon/fiber_stream.h
@@ -76,6 +76,8 @@
     [[nodiscard]] bool is_quiet();
     /// Ends all waits with error::operation_aborted.
     void close();
+    /// Closes without sending what is still queued, so that the other side never receives it.
+    void reset();
 
 private:
     boost::asio::io_context& m_io;
@@ -84,5 +86,7 @@
 
 /// Sets the options that every TCP connection of the daemon has.
 void prepare(tcp::socket& socket);
+/// Ends the connection with an error when sent bytes stay unacknowledged for this long.
+void limit_unacknowledged(tcp::socket& socket, std::chrono::milliseconds limit);
 
 }  // namespace jasminelead::daemon
--- a/daemon/http_client.cc
+++ b/daemon/http_client.cc
@@ -26,10 +26,13 @@
 }
 
 std::string render_request(std::string_view method, std::string_view target, std::string_view host,
-                           std::string_view body) {
+                           std::string_view body, std::span<const http_header> headers) {
     std::string text;
     text.reserve(body.size() + 160);
     text.append(method).append(" ").append(target).append(" HTTP/1.1\r\nHost: ").append(host);
+    for (const http_header& header : headers) {
+        text.append("\r\n").append(header.name).append(": ").append(header.value);
+    }
     text.append("\r\nContent-Type: application/json\r\nContent-Length: ");
     text.append(std::to_string(body.size())).append("\r\n\r\n").append(body);
     return text;
@@ -38,7 +41,7 @@
 }  // namespace
 
 endpoint_error http_client::fail(const boost::system::error_code& error) {
-    m_stream.close();
+    m_stream.reset();
     return translate(error);
 }
 
@@ -55,11 +58,10 @@
     return std::nullopt;
 }
 
-std::variant<http_response, endpoint_error> http_client::exchange(std::string_view method,
-                                                                  std::string_view target,
-                                                                  std::string_view body,
-                                                                  steady_time deadline) {
-    const std::string request = render_request(method, target, m_host, body);
+std::variant<http_response, endpoint_error> http_client::exchange(
+    std::string_view method, std::string_view target, std::string_view body, steady_time deadline,
+    std::span<const http_header> headers) {
+    const std::string request = render_request(method, target, m_host, body, headers);
     const auto error = m_stream.write(boost::asio::buffer(request), deadline);
     if (error) {
         return fail(error);
--- a/daemon/http_client.h
+++ b/daemon/http_client.h
@@ -2,6 +2,7 @@
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -18,6 +19,11 @@
     bool keep_alive = false;
 };
 
+struct http_header {
+    std::string_view name;
+    std::string_view value;
+};
+
 /// One HTTP/1.1 connection to an endpoint or the store. Calls suspend the calling fiber; one
 /// request at a time.
 class http_client {
@@ -25,11 +31,13 @@
     explicit http_client(boost::asio::io_context& io) : m_stream{io} {}
 
     std::optional<endpoint_error> connect(std::string_view address, steady_time deadline);
-    /// After an error or a response without keep-alive the connection is closed.
+    /// After an error the connection is reset, so that no bytes of the request arrive later. After
+    /// a response without keep-alive it is closed.
     std::variant<http_response, endpoint_error> exchange(std::string_view method,
                                                          std::string_view target,
                                                          std::string_view body,
-                                                         steady_time deadline);
+                                                         steady_time deadline,
+                                                         std::span<const http_header> headers = {});
     /// Calls back once when bytes arrive or the connection ends.
     template <class Callback>
     void when_readable(Callback callback) {
--- a/daemon/http_pool.cc
+++ b/daemon/http_pool.cc
@@ -41,7 +41,8 @@
             return *error;
         }
     }
-    return client->exchange(request.method, request.target, request.body, request.deadline);
+    return client->exchange(request.method, request.target, request.body, request.deadline,
+                            request.headers);
 }
 
 http_pool::client_ptr http_pool::take_idle(const std::string& address) {
--- a/daemon/http_pool.h
+++ b/daemon/http_pool.h
@@ -20,6 +20,7 @@
     std::string_view body;
     steady_time deadline;
     bool new_connection = false;
+    std::span<const http_header> headers;
     bool repeatable = false;  ///< Tried again when a reused connection turns out to be closed.
 };
 
--- a/daemon/main.cc
+++ b/daemon/main.cc
@@ -13,6 +13,8 @@
 #include "jasminelead/kernel_options.h"
 #include "log.h"
 #include "node.h"
+#include "proxy/event_log.h"
+#include "proxy/session_daemon.h"
 #include "settings.h"
 
 namespace {
@@ -83,13 +85,62 @@
     std::_Exit(EXIT_SUCCESS);
 }
 
+/// Waits for signals on the calling thread until the daemon has stopped.
+int serve_sessions(const proxy::settings& loaded) {
+    const sigset_t signals = block_signals();
+    proxy::start_log(loaded.log_level);
+    proxy::session_daemon running{loaded};
+    if (const auto fault = running.start()) {
+        std::cerr << *fault << '\n';
+        return EXIT_FAILURE;
+    }
+    proxy::log_line{proxy::log_class::change, "started"}
+        .with("version", version)
+        .with("host", loaded.host)
+        .with("data_centre", loaded.data_centre)
+        .with("listen", loaded.listen)
+        .write();
+    std::thread{[&running, signals] {
+        int number = 0;
+        sigwait(&signals, &number);
+        running.stop_gracefully();
+    }}.detach();
+    running.wait_stopped();
+    // The signal thread still refers to the daemon, so the process ends without its destructor.
+    std::_Exit(EXIT_SUCCESS);
+}
+
+/// The settings file named by the command line, or by the environment.
+std::string settings_path(const cxxopts::ParseResult& arguments) {
+    if (arguments.count("config") > 0) {
+        return arguments["config"].as<std::string>();
+    }
+    return process_environment("JASMINELEAD_SETTINGS").value_or("");
+}
+
+int report(const std::vector<std::string>& errors) {
+    for (const std::string& error : errors) {
+        std::cerr << error << '\n';
+    }
+    return exit_settings;
+}
+
+int run_sessions(const cxxopts::ParseResult& arguments) {
+    const auto loaded = proxy::load_settings(settings_path(arguments));
+    if (const auto* const errors = std::get_if<proxy::settings_errors>(&loaded)) {
+        return report(*errors);
+    }
+    const bool only_check = arguments.count("check") > 0;
+    return only_check ? EXIT_SUCCESS : serve_sessions(std::get<proxy::settings>(loaded));
+}
+
 int run(const cxxopts::ParseResult& arguments) {
-    const auto loaded = load_settings(arguments["config"].as<std::string>(), process_environment);
+    if (arguments.count("sessions") > 0) {
+        return run_sessions(arguments);
+    }
+    const auto loaded = load_settings(settings_path(arguments), process_environment);
     if (const auto* const errors = std::get_if<settings_errors>(&loaded)) {
-        for (const std::string& error : *errors) {
-            std::cerr << error << '\n';
-        }
-        return exit_settings;
+        return report(*errors);
     }
     return arguments.count("check") > 0 ? EXIT_SUCCESS : serve(std::get<settings>(loaded));
 }
@@ -99,6 +150,7 @@
 int main(int count, char** values) {
     cxxopts::Options options{"jasminelead", "Database proxy with session consistency"};
     options.add_options()("config", "Settings file (YAML)", cxxopts::value<std::string>())(
+        "sessions", "Serve sessions over the line protocol")(
         "check", "Check the settings and exit")("version", "Print the version")("help",
                                                                                 "Print this text");
     try {
@@ -111,7 +163,7 @@
             std::cout << "jasminelead " << version << '\n';
             return EXIT_SUCCESS;
         }
-        if (arguments.count("config") == 0) {
+        if (settings_path(arguments).empty()) {
             std::cerr << "--config is missing\n";
             return exit_settings;
         }
--- /dev/null
+++ b/include/jasminelead/endpoint_health.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+
+#include "jasminelead/types.h"
+
+/// Whether an endpoint can be reached from this daemon, judged by its connections.
+namespace jasminelead {
+
+class endpoint_health {
+public:
+    /// A complete answer arrived.
+    void on_answer(instant now);
+    /// A new connection could not be opened.
+    void on_connect_failed(instant now);
+    /// An answer did not come, or the connection that it was expected on was lost.
+    void on_answer_missing(instant now);
+
+    [[nodiscard]] bool is_reachable() const { return !m_unreachable_since; }
+    /// Since when no connection could be opened; nothing while it is reachable.
+    [[nodiscard]] std::optional<instant> unreachable_since() const { return m_unreachable_since; }
+    /// When the next connection may be tried.
+    [[nodiscard]] instant retry_at() const { return m_retry_at; }
+    [[nodiscard]] std::uint32_t failures() const { return m_failures; }
+    /// A connection should be tried, to tell a lost connection from a lost endpoint.
+    [[nodiscard]] bool is_doubtful() const { return m_doubtful; }
+
+private:
+    std::optional<instant> m_unreachable_since;
+    instant m_retry_at;
+    std::uint32_t m_failures = 0;
+    bool m_doubtful = false;
+};
+
+}  // namespace jasminelead
--- /dev/null
+++ b/include/jasminelead/primary_replacement.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <cstddef>
+#include <optional>
+#include <span>
+
+#include "jasminelead/log_point.h"
+#include "jasminelead/types.h"
+
+/// When a primary is replaced, and by which replica.
+namespace jasminelead {
+
+/// What is known of a group's primary. Hosts are the registered daemons.
+struct primary_health {
+    std::size_t hosts = 0;
+    std::size_t hosts_without_primary = 0;  ///< Hosts that cannot open a connection to it.
+    bool is_listed = true;
+    bool sees_itself_as_replica = false;  ///< For longer than its reports take.
+    bool is_leaving = false;
+};
+
+enum class replacement {
+    none,
+    planned,  ///< The primary still serves; its log is handed over completely.
+    urgent,   ///< The primary is lost to most hosts.
+};
+
+replacement decide_replacement(const primary_health& health);
+
+struct successor_candidate {
+    endpoint_id id;
+    log_point received;             ///< End of its log.
+    std::size_t hosts_without = 0;  ///< Hosts that cannot open a connection to it.
+    bool is_near = false;           ///< In the data centre of the present primary.
+};
+
+/// Index of the most complete log among the endpoints that most hosts reach.
+std::optional<std::size_t> choose_successor(std::span<const successor_candidate> candidates,
+                                            std::size_t hosts);
+
+}  // namespace jasminelead
--- /dev/null
+++ b/include/jasminelead/routing_config.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "jasminelead/types.h"
+
+/// The operators' routes from databases to groups, with versions that never go back.
+namespace jasminelead {
+
+/// Which endpoints may answer the reads of a route.
+enum class read_policy { primary, bounded_stale, read_your_writes };
+
+struct database_route {
+    std::string database;  ///< Name by which callers ask for it.
+    group_id group;
+    read_policy policy = read_policy::primary;
+    duration statement_timeout;
+    duration latency_goal;       ///< For a whole operation.
+    std::uint32_t priority = 0;  ///< 0 is the highest.
+    duration max_stale;          ///< Unused by policy `primary`.
+};
+
+struct group_limits {
+    std::uint32_t max_connections = 1;  ///< To one endpoint, from all daemons together.
+    bool synchronous = false;           ///< A commit is acknowledged once one replica has it.
+};
+
+struct routing_config {
+    revision_number version = 0;
+    std::map<std::string, database_route, std::less<>> routes;  ///< By database.
+    std::map<group_id, group_limits> groups;
+    duration transaction_idle_limit;
+
+    [[nodiscard]] const database_route* find(std::string_view database) const;
+    [[nodiscard]] std::uint32_t max_connections(const group_id& group) const;
+};
+
+/// Holds the newest configuration that was offered.
+class config_holder {
+public:
+    /// False when the version is not above the one in force.
+    bool offer(std::shared_ptr<const routing_config> config);
+    /// Null before the first configuration.
+    [[nodiscard]] const std::shared_ptr<const routing_config>& current() const { return m_current; }
+    [[nodiscard]] revision_number version() const { return m_current ? m_current->version : 0; }
+
+private:
+    std::shared_ptr<const routing_config> m_current;
+};
+
+}  // namespace jasminelead
--- /dev/null
+++ b/proxy/endpoint_pool.cc
@@ -0,0 +1,318 @@
+#include "proxy/endpoint_pool.h"
+
+#include <algorithm>
+#include <boost/fiber/operations.hpp>
+#include <utility>
+
+#include "proxy/clock.h"
+#include "proxy/event_log.h"
+
+namespace jasminelead::proxy {
+namespace {
+
+using namespace literals;
+
+// Several times the handshake, because an endpoint under load opens connections in turn.
+constexpr duration open_timeout = 350_ms;
+// Several statements of a usual length.
+constexpr duration longest_silence = 200_ms;
+// After a refusal for the number of connections, one more is tried this often.
+constexpr duration cap_recovery = 500_ms;
+// Numbers of connections begin at 1.
+constexpr connection_id no_connection = 0;
+// All connections of a pool are one account; lanes share by the queue.
+const service_id any_user{"any"};
+
+bool any_lane(const service_id&) {
+    return true;
+}
+
+}  // namespace
+
+endpoint_pool::endpoint_pool(daemon::worker& home, wait_list& changed, listed_endpoint endpoint)
+    : m_home{home}, m_changed{changed}, m_endpoint{std::move(endpoint)} {}
+
+std::uint32_t endpoint_pool::window() const {
+    return std::max<std::uint32_t>(m_endpoint.slots, 1);
+}
+
+std::variant<acquired_run, reason> endpoint_pool::acquire(const work_request& request) {
+    if (m_retired) {
+        return reason::endpoint_leaving;
+    }
+    const waiter_ptr turn = wait_turn(request, false);
+    if (turn->refused) {
+        return *turn->refused;
+    }
+    return acquired_run{*turn->connection, *turn->slot};
+}
+
+std::variant<run_slot, reason> endpoint_pool::acquire_slot(const work_request& request) {
+    const waiter_ptr turn = wait_turn(request, true);
+    if (turn->refused) {
+        return *turn->refused;
+    }
+    return *turn->slot;
+}
+
+endpoint_pool::waiter_ptr endpoint_pool::wait_turn(const work_request& request, bool bound) {
+    const auto turn = std::make_shared<waiter>();
+    turn->lane = request.lane;
+    turn->bound = bound;
+    const std::uint64_t number = m_next_number++;
+    const admission_request entry{number, request.lane, request.share, request.wanted_by, bound};
+    const auto verdict = m_queue.push(entry, window(), boot_now());
+    if (verdict.refused) {
+        turn->refused = verdict.refused;
+        return turn;
+    }
+    m_waiters.emplace(number, turn);
+    if (verdict.evicted) {
+        const auto evicted = m_waiters.extract(*verdict.evicted);
+        evicted.mapped()->refused = reason::overloaded;
+        evicted.mapped()->wake({});
+    }
+    const auto keep_alive = shared_from_this();
+    daemon::await_operation(m_home.io(), to_steady(request.give_up), [&](auto handler) {
+        turn->wake = std::move(handler);
+        pump();
+    });
+    if (!turn->slot && !turn->refused) {
+        m_queue.remove(request.lane, number);
+        m_waiters.erase(number);
+        turn->refused = reason::deadline;
+    }
+    return turn;
+}
+
+void endpoint_pool::pump() {
+    while (m_running < window() && dispatch_next()) {
+    }
+    open_missing();
+}
+
+bool endpoint_pool::dispatch_next() {
+    const instant now = boot_now();
+    const connection_id ready = unbound_waiting() > 0 ? take_usable() : no_connection;
+    const auto next = m_queue.pop(ready != no_connection, any_lane);
+    const waiter_ptr turn = next ? m_waiters.extract(next->number).mapped() : nullptr;
+    if (ready != no_connection && (!turn || turn->bound)) {
+        m_connections.put_back(ready, now);
+    }
+    if (!turn) {
+        return false;
+    }
+    turn->slot = run_slot{turn->lane, next->charged, now};
+    if (!turn->bound) {
+        turn->connection = held_connection{m_links.at(ready), ready};
+    }
+    if (m_running++ == 0) {
+        m_quiet_since = now;
+    }
+    turn->wake({});
+    return true;
+}
+
+/// Returns `no_connection` when none is idle.
+connection_id endpoint_pool::take_usable() {
+    const instant now = boot_now();
+    while (const auto id = m_connections.take(any_user, now)) {
+        if (m_links.at(*id)->is_usable()) {
+            return *id;
+        }
+        m_links.at(*id)->close();
+        m_links.erase(*id);
+        m_connections.remove(*id, now);
+    }
+    return no_connection;
+}
+
+std::uint32_t endpoint_pool::unbound_waiting() const {
+    std::size_t count = 0;
+    m_queue.visit_waiting([&count](const service_id&, std::size_t size) { count += size; });
+    return static_cast<std::uint32_t>(count);
+}
+
+void endpoint_pool::open_missing() {
+    const instant now = boot_now();
+    if (m_retired || !m_health.is_reachable()) {
+        return;
+    }
+    if (m_connection_cap < m_max_connections && m_cap_lowered + cap_recovery <= now) {
+        ++m_connection_cap;
+        m_cap_lowered = now;
+    }
+    const std::uint32_t demand = std::min(unbound_waiting(), window());
+    if (demand == 0) {
+        return;
+    }
+    const std::uint32_t missing = m_connections.missing(demand, m_connection_cap, now);
+    for (std::uint32_t i = 0; i < missing; ++i) {
+        open_one();
+    }
+}
+
+void endpoint_pool::open_one() {
+    const connection_id id = m_next_number++;
+    m_connections.add_opening(id);
+    m_links.emplace(id, std::make_shared<endpoint_connection>(m_home.io()));
+    m_home.spawn([self = shared_from_this(), id] { self->run_open(id); });
+}
+
+void endpoint_pool::run_open(connection_id id) {
+    const auto link = m_links.at(id);
+    const auto result = link->open(m_endpoint.entry, to_steady(boot_now() + open_timeout));
+    if (const auto* const point = std::get_if<std::optional<log_point>>(&result)) {
+        on_answer(*point);
+        on_opened(id);
+        return;
+    }
+    if (const auto* const fault = std::get_if<statement_fault>(&result)) {
+        const bool full = *fault == statement_fault::connection_limit;
+        on_open_failed(id, full ? reason::connection_limit : reason::endpoint_unavailable);
+        return;
+    }
+    on_open_failed(id, reason::endpoint_unavailable);
+}
+
+void endpoint_pool::on_opened(connection_id id) {
+    m_connections.set_open(id, boot_now());
+    pump();
+}
+
+void endpoint_pool::on_open_failed(connection_id id, reason why) {
+    const instant now = boot_now();
+    m_links.erase(id);
+    m_connections.remove(id, now);
+    if (why == reason::connection_limit) {
+        m_connection_cap = std::max<std::uint32_t>(m_connections.size(), 1);
+        m_cap_lowered = now;
+        // Without any connection there is nothing to wait for.
+        if (m_connections.size() == 0) {
+            fail_unbound(why);
+        }
+        return;
+    }
+    const bool was_reachable = m_health.is_reachable();
+    m_health.on_connect_failed(now);
+    if (was_reachable) {
+        log_line{log_class::change, "endpoint_unreachable"}
+            .with("endpoint", m_endpoint.entry.id)
+            .with("group", m_endpoint.entry.group)
+            .with("reason", to_string(why))
+            .write();
+        m_changed.notify_all();
+    }
+    fail_unbound(why);
+    schedule_retry();
+}
+
+void endpoint_pool::fail_unbound(reason why) {
+    std::vector<std::uint64_t> failed;
+    for (const auto& [number, turn] : m_waiters) {
+        if (!turn->bound) {
+            failed.push_back(number);
+        }
+    }
+    for (const std::uint64_t number : failed) {
+        const waiter_ptr turn = m_waiters.extract(number).mapped();
+        m_queue.remove(turn->lane, number);
+        turn->refused = why;
+        turn->wake({});
+    }
+}
+
+void endpoint_pool::schedule_retry() {
+    if (m_retry_scheduled || m_retired) {
+        return;
+    }
+    m_retry_scheduled = true;
+    m_home.spawn([self = shared_from_this()] {
+        boost::this_fiber::sleep_until(to_steady(self->m_health.retry_at()));
+        self->m_retry_scheduled = false;
+        if (!self->m_retired && self->m_connections.opening() == 0) {
+            self->open_one();
+        }
+    });
+}
+
+void endpoint_pool::finish(const run_slot& slot) {
+    --m_running;
+    m_queue.complete(slot.lane, slot.charged, boot_now() - slot.since);
+    pump();
+}
+
+void endpoint_pool::give_back(const held_connection& connection, bool clean) {
+    const instant now = boot_now();
+    if (clean && !m_retired && m_connections.size() <= m_connection_cap) {
+        m_connections.put_back(connection.id, now);
+    } else {
+        connection.link->close();
+        m_links.erase(connection.id);
+        m_connections.remove(connection.id, now);
+    }
+    pump();
+}
+
+void endpoint_pool::on_answer(const std::optional<log_point>& point) {
+    if (!m_health.is_reachable()) {
+        log_line{log_class::change, "endpoint_reachable"}
+            .with("endpoint", m_endpoint.entry.id)
+            .with("group", m_endpoint.entry.group)
+            .with("unreachable_ms", boot_now() - *m_health.unreachable_since())
+            .write();
+        m_changed.notify_all();
+    }
+    m_health.on_answer(boot_now());
+    m_quiet_since = boot_now();
+    if (point) {
+        m_point = point;
+    }
+}
+
+void endpoint_pool::on_answer_missing() {
+    m_health.on_answer_missing(boot_now());
+    if (m_connections.opening() == 0 && !m_retired) {
+        open_one();
+    }
+}
+
+void endpoint_pool::check_silence() {
+    const instant now = boot_now();
+    const bool silent = m_running > 0 && m_quiet_since + longest_silence <= now;
+    if (silent && m_health.is_reachable() && m_connections.opening() == 0 && !m_retired) {
+        m_quiet_since = now;
+        open_one();
+    }
+}
+
+void endpoint_pool::update(const listed_endpoint& endpoint, std::uint32_t max_connections) {
+    m_endpoint = endpoint;
+    if (m_max_connections != max_connections) {
+        m_max_connections = max_connections;
+        m_connection_cap = max_connections;
+    }
+}
+
+void endpoint_pool::retire() {
+    if (m_retired) {
+        return;
+    }
+    m_retired = true;
+    fail_unbound(reason::endpoint_leaving);
+    const instant now = boot_now();
+    while (const auto id = m_connections.take(any_user, now)) {
+        m_links.at(*id)->close();
+        m_links.erase(*id);
+        m_connections.remove(*id, now);
+    }
+}
+
+void endpoint_pool::trim() {
+    for (const connection_id id : m_connections.take_surplus(m_connection_cap, boot_now())) {
+        m_links.at(id)->close();
+        m_links.erase(id);
+    }
+}
+
+}  // namespace jasminelead::proxy
--- /dev/null
+++ b/proxy/failover_agent.cc
@@ -0,0 +1,424 @@
+#include "proxy/failover_agent.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <boost/fiber/operations.hpp>
+
+#include "proxy/clock.h"
+#include "proxy/event_log.h"
+
+namespace jasminelead::proxy {
+namespace {
+
+using namespace literals;
+
+constexpr duration check_interval = 100_ms;
+// Hosts begin one after the other, so that the first one is usually the only one.
+constexpr duration rank_delay = 150_ms;
+// A replacement that was begun elsewhere and does not end is taken over after this time. It is
+// longer than `promotion_window`, so that the first daemon no longer promotes.
+constexpr duration takeover_delay = 5_s;
+// A promotion is sent only within this time after its mark was sent to the store.
+constexpr duration promotion_window = 3500_ms;
+constexpr duration clock_margin = 50_ms;
+constexpr duration status_timeout = 250_ms;
+constexpr duration promotion_timeout = 800_ms;
+constexpr duration store_timeout = 1_s;
+constexpr duration poll_interval = 30_ms;
+constexpr duration handover_patience = 1_s;
+constexpr duration takeover_patience = 3_s;
+constexpr duration unused_poll = 20_ms;
+constexpr int most_rounds = 3;
+// Reports of an endpoint's role arrive within a heartbeat.
+constexpr duration role_settle_time = 1_s;
+
+void pause(duration length) {
+    boost::this_fiber::sleep_until(to_steady(boot_now() + length));
+}
+
+}  // namespace
+
+failover_agent::failover_agent(fleet_state& fleet, store_sync& sync, daemon::metrics& counters,
+                               const settings& options)
+    : m_fleet{fleet},
+      m_sync{sync},
+      m_counters{counters},
+      m_self{options.host},
+      m_promotion_address{options.promotion} {}
+
+void failover_agent::start() {
+    if (!m_promotion_address.empty()) {
+        m_fleet.home().spawn([this] { run(); });
+    }
+}
+
+void failover_agent::run() {
+    while (!m_stopped) {
+        check_groups();
+        m_fleet.changed.wait(to_steady(boot_now() + check_interval));
+    }
+}
+
+void failover_agent::check_groups() {
+    // Without a recent answer of the store the views of the other hosts are old.
+    if (!m_fleet.lease.is_current(boot_now()) || !m_sync.knows_hosts(boot_now())) {
+        m_due_since.clear();
+        return;
+    }
+    for (const auto& [group, record] : m_fleet.lease.records()) {
+        if (!m_running.contains(group)) {
+            check_group(group, record);
+        }
+    }
+}
+
+void failover_agent::check_group(const group_id& group, const group_record& record) {
+    const auto key = std::pair{group, record.revision};
+    const bool changing = record.phase == leadership_phase::changing;
+    primary_health health = health_of(group, record.primary);
+    bool only_by_role = false;
+    if (!changing && health.sees_itself_as_replica) {
+        health.sees_itself_as_replica = false;
+        only_by_role = decide_replacement(health) == replacement::none;
+    }
+    const replacement kind =
+        changing || only_by_role ? replacement::urgent : decide_replacement(health);
+    if (kind == replacement::none) {
+        m_due_since.erase(key);
+        return;
+    }
+    const instant now = boot_now();
+    const instant since = m_due_since.emplace(key, now).first->second;
+    duration patience = patience_of_rank(group);
+    if (changing) {
+        patience = patience + takeover_delay;
+    } else if (only_by_role) {
+        patience = patience + role_settle_time;
+    }
+    if (since + patience > now) {
+        return;
+    }
+    m_running.insert(group);
+    m_fleet.home().spawn([this, group = group, kind] {
+        replace(group, kind);
+        m_running.erase(group);
+    });
+}
+
+std::size_t failover_agent::hosts_without(const endpoint_id& endpoint) const {
+    const auto& hosts = m_sync.hosts();
+    return static_cast<std::size_t>(std::count_if(
+        hosts.begin(), hosts.end(),
+        [&endpoint](const auto& host) { return host.second.unreachable.contains(endpoint); }));
+}
+
+primary_health failover_agent::health_of(const group_id& group, const endpoint_id& primary) const {
+    primary_health health;
+    health.hosts = m_sync.hosts().size();
+    health.hosts_without_primary = hosts_without(primary);
+    const auto pool = m_fleet.pool(primary);
+    // While no endpoint of the group is listed, the list is not known yet.
+    health.is_listed = pool != nullptr || m_fleet.pools(group).empty();
+    health.is_leaving = pool != nullptr && pool->endpoint().entry.state == member_state::leaving;
+    health.sees_itself_as_replica =
+        pool != nullptr && pool->endpoint().role == endpoint_role::replica;
+    return health;
+}
+
+/// Hosts take their turn in an order that differs between groups.
+duration failover_agent::patience_of_rank(const group_id& group) const {
+    const auto weight = [&group](const host_id& host) {
+        const std::string text = group.str() + "/" + host.str();
+        return XXH64(text.data(), text.size(), 0);
+    };
+    const auto own = weight(m_self);
+    const auto& hosts = m_sync.hosts();
+    const auto before = std::count_if(hosts.begin(), hosts.end(),
+                                      [&](const auto& host) { return weight(host.first) < own; });
+    return rank_delay * static_cast<double>(before);
+}
+
+std::optional<platform::endpoint_status> failover_agent::command(const endpoint_id& endpoint,
+                                                                 std::string_view text) const {
+    const auto pool = m_fleet.pool(endpoint);
+    if (!pool) {
+        return std::nullopt;
+    }
+    // A connection of its own, because the pooled ones may be in use or silent.
+    endpoint_connection link{m_fleet.home().io()};
+    const auto deadline = to_steady(boot_now() + status_timeout);
+    const auto opened = link.open(pool->endpoint().entry, deadline);
+    if (!std::holds_alternative<std::optional<log_point>>(opened)) {
+        return std::nullopt;
+    }
+    std::string query;
+    platform::encode_query(query, platform::own_id(), text);
+    const auto answer = link.exchange(query, deadline);
+    link.close();
+    const auto* const received = std::get_if<endpoint_answer>(&answer);
+    if (received == nullptr || received->fault || received->rows.empty()) {
+        return std::nullopt;
+    }
+    return platform::decode_status_rows(received->rows);
+}
+
+std::optional<platform::endpoint_status> failover_agent::ask_status(
+    const endpoint_id& endpoint) const {
+    return command(endpoint, platform::status_text());
+}
+
+std::vector<successor_candidate> failover_agent::ask_candidates(const group_id& group,
+                                                                const endpoint_id& old_primary,
+                                                                term_number& term) const {
+    const auto old_pool = m_fleet.pool(old_primary);
+    std::vector<successor_candidate> candidates;
+    for (const auto& pool : m_fleet.pools(group)) {
+        const listed_endpoint& endpoint = pool->endpoint();
+        const bool usable = endpoint.entry.id != old_primary &&
+                            endpoint.entry.state == member_state::live &&
+                            pool->health().is_reachable();
+        const auto status = usable ? ask_status(endpoint.entry.id) : std::nullopt;
+        if (!status) {
+            continue;
+        }
+        term = std::max(term, status->term);
+        successor_candidate candidate;
+        candidate.id = endpoint.entry.id;
+        candidate.received = status->received;
+        candidate.hosts_without = hosts_without(candidate.id);
+        candidate.is_near = old_pool != nullptr &&
+                            old_pool->endpoint().entry.data_centre == endpoint.entry.data_centre;
+        candidates.push_back(candidate);
+    }
+    return candidates;
+}
+
+void failover_agent::log_step(const replacement_run& current, std::string_view step,
+                              std::string_view outcome) const {
+    log_line{log_class::change, "failover"}
+        .with("group", current.group)
+        .with("step", step)
+        .with("outcome", outcome)
+        .with("kind", current.kind == replacement::planned ? "planned" : "urgent")
+        .with("old_primary", current.old_primary)
+        .with("successor", current.record.successor)
+        .with("token", current.record.revision)
+        .with("term", current.term)
+        .with("marked_ms_ago", boot_now() - current.marked)
+        .write();
+}
+
+bool failover_agent::write_record(replacement_run& current, group_record record,
+                                  const std::vector<host_id>& forgotten) {
+    record.changed_by = m_self;
+    platform::store_transaction transaction;
+    transaction.conditions.push_back({group_key(current.group), current.record.revision});
+    transaction.updates.push_back(
+        {group_key(current.group), encode_group_record(record), platform::no_lease});
+    for (const host_id& host : forgotten) {
+        transaction.deletions.push_back(host_key(host));
+    }
+    const auto result = m_sync.store().commit(transaction, to_steady(boot_now() + store_timeout));
+    if (!result) {
+        log_step(current, "write_record", platform::to_string(result.fault));
+        return false;
+    }
+    record.revision = *result.value;
+    current.record = record;
+    m_sync.apply_group(current.group, record);
+    return true;
+}
+
+std::optional<failover_agent::replacement_run> failover_agent::mark(const group_id& group,
+                                                                    replacement kind) {
+    const group_record* const known = m_fleet.lease.record(group);
+    replacement_run current;
+    current.group = group;
+    current.kind = kind;
+    current.record = *known;
+    current.old_primary = known->primary;
+    current.term = known->term;
+    // A daemon that began before this one may have promoted already.
+    current.may_be_promoted = known->phase == leadership_phase::changing;
+    const revision_number before = known->revision;
+    const auto candidates = ask_candidates(group, known->primary, current.term);
+    const auto chosen = choose_successor(candidates, m_sync.hosts().size());
+    if (!chosen) {
+        log_step(current, "choose_successor", "none_reachable");
+        return std::nullopt;
+    }
+    if (m_fleet.lease.record(group)->revision != before) {
+        return std::nullopt;
+    }
+    note_hosts(current);
+    group_record record = current.record;
+    record.phase = leadership_phase::changing;
+    record.successor = candidates[*chosen].id;
+    current.marked = boot_now();
+    if (!write_record(current, record, {})) {
+        return std::nullopt;
+    }
+    current.mark_seen = boot_now();
+    log_step(current, "mark", "written");
+    // A host that registered just before the mark may not have been known yet.
+    current.knows_hosts = m_sync.confirm();
+    note_hosts(current);
+    return current;
+}
+
+void failover_agent::note_hosts(replacement_run& current) {
+    for (const auto& [host, record] : m_sync.hosts()) {
+        current.hosts.emplace(host, record.incarnation);
+    }
+}
+
+void failover_agent::replace(const group_id& group, replacement kind) {
+    for (int round = 0; round < most_rounds; ++round) {
+        if (replace_once(group, kind)) {
+            return;
+        }
+        pause(rank_delay);
+        const group_record* const record = m_fleet.lease.record(group);
+        const bool is_own =
+            record->changed_by == m_self && record->phase == leadership_phase::changing;
+        if (!is_own) {
+            return;
+        }
+    }
+}
+
+bool failover_agent::replace_once(const group_id& group, replacement kind) {
+    auto current = mark(group, kind);
+    if (!current) {
+        return false;
+    }
+    if (current->may_be_promoted) {
+        const auto status = ask_status(current->record.successor);
+        if (status && status->role == endpoint_role::primary) {
+            current->term = status->term;
+            return finish(*current, current->record.successor);
+        }
+    }
+    wait_until_unused(*current);
+    hand_over_log(*current);
+    if (promote(*current) && wait_until_leads(*current)) {
+        return finish(*current, current->record.successor);
+    }
+    if (!current->may_be_promoted && !current->has_stepped_down) {
+        // Nothing has changed at the endpoints, so the old primary may serve again.
+        return finish(*current, current->old_primary);
+    }
+    return false;
+}
+
+bool failover_agent::has_stopped(const replacement_run& current, const host_id& host) const {
+    if (host == m_self) {
+        return true;
+    }
+    if (m_sync.stopped(current.group, host) >= current.record.revision) {
+        return true;
+    }
+    // A process that started after the mark has never used the old primary.
+    const auto present = m_sync.hosts().find(host);
+    return present != m_sync.hosts().end() && present->second.incarnation != current.hosts.at(host);
+}
+
+/// Returns when no daemon can rely on the old primary any more.
+void failover_agent::wait_until_unused(const replacement_run& current) {
+    const instant lease_end = current.mark_seen + m_fleet.lease.length() + clock_margin;
+    std::size_t missing = 0;
+    do {
+        missing = 0;
+        for (const auto& [host, incarnation] : current.hosts) {
+            missing += has_stopped(current, host) ? 0 : 1;
+        }
+        if (missing == 0 && current.knows_hosts) {
+            break;
+        }
+        m_fleet.changed.wait(to_steady(boot_now() + unused_poll));
+    } while (boot_now() < lease_end);
+    log_step(current, "wait_until_unused", missing == 0 ? "acknowledged" : "lease_ended");
+}
+
+/// Lets the successor receive what the old primary has, when that one can be asked.
+void failover_agent::hand_over_log(replacement_run& current) {
+    const auto last = ask_status(current.old_primary);
+    if (!last || last->role != endpoint_role::primary) {
+        log_step(current, "hand_over_log", "old_primary_silent");
+        return;
+    }
+    const instant give_up = boot_now() + handover_patience;
+    bool complete = false;
+    while (!complete && boot_now() < give_up) {
+        const auto status = ask_status(current.record.successor);
+        complete = status && status->received >= last->received;
+        if (!complete) {
+            pause(poll_interval);
+        }
+    }
+    const term_number next = std::max(current.term, last->term) + 1;
+    const auto stepped = command(current.old_primary, platform::step_down_text(next));
+    current.has_stepped_down = stepped.has_value();
+    log_step(current, "hand_over_log", complete ? "complete" : "incomplete");
+    log_step(current, "step_down", stepped ? "done" : "no_answer");
+}
+
+bool failover_agent::promote(replacement_run& current) {
+    platform::promotion_client client{m_fleet.home().io(), m_promotion_address};
+    if (!client.connect(to_steady(boot_now() + promotion_timeout))) {
+        log_step(current, "promote", "unreachable");
+        return false;
+    }
+    // The mark may have been replaced while this daemon was paused.
+    const auto item =
+        m_sync.store().get(group_key(current.group), to_steady(boot_now() + store_timeout));
+    const bool still_marked = item && item.value->revision == current.record.revision;
+    if (!still_marked || boot_now() - current.marked > promotion_window) {
+        log_step(current, "promote", "mark_lost");
+        return false;
+    }
+    const platform::promotion_request request{current.group, current.record.successor, m_self,
+                                              current.record.revision};
+    const auto answer = client.promote(request, to_steady(boot_now() + promotion_timeout));
+    m_counters.count("promotions", platform::to_string(answer));
+    log_step(current, "promote", platform::to_string(answer));
+    const bool may_run = answer == platform::promotion_answer::accepted ||
+                         answer == platform::promotion_answer::unknown;
+    current.may_be_promoted = current.may_be_promoted || may_run;
+    return may_run;
+}
+
+bool failover_agent::wait_until_leads(replacement_run& current) {
+    const instant give_up = boot_now() + takeover_patience;
+    while (boot_now() < give_up) {
+        const auto status = ask_status(current.record.successor);
+        if (status && status->role == endpoint_role::primary) {
+            current.term = status->term;
+            return true;
+        }
+        pause(poll_interval);
+    }
+    log_step(current, "wait_until_leads", "timeout");
+    return false;
+}
+
+bool failover_agent::finish(replacement_run& current, const endpoint_id& primary) {
+    group_record record = current.record;
+    record.phase = leadership_phase::led;
+    record.primary = primary;
+    record.successor = endpoint_id{};
+    record.term = current.term;
+    // Hosts that did not answer register again when they are alive.
+    std::vector<host_id> forgotten;
+    for (const auto& [host, incarnation] : current.hosts) {
+        if (!has_stopped(current, host)) {
+            forgotten.push_back(host);
+        }
+    }
+    const bool written = write_record(current, record, forgotten);
+    log_step(current, "finish", written ? "written" : "not_written");
+    return written;
+}
+
+}  // namespace jasminelead::proxy
--- /dev/null
+++ b/proxy/failover_agent.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string_view>
+#include <vector>
+
+#include "jasminelead/primary_replacement.h"
+#include "platform/promotion_client.h"
+#include "platform/wire.h"
+#include "proxy/fleet_state.h"
+#include "proxy/settings.h"
+#include "proxy/store_sync.h"
+
+/// Replaces primaries that are leaving or lost.
+namespace jasminelead::proxy {
+
+class failover_agent {
+public:
+    failover_agent(fleet_state& fleet, store_sync& sync, daemon::metrics& counters,
+                   const settings& options);
+
+    void start();
+    void stop() { m_stopped = true; }
+
+private:
+    /// A replacement that this daemon carries out.
+    struct replacement_run {
+        group_id group;
+        group_record record;  ///< As written by this daemon.
+        endpoint_id old_primary;
+        term_number term = 0;  ///< Highest term seen at the group's endpoints.
+        replacement kind = replacement::none;
+        instant marked;                               ///< When the mark was sent to the store.
+        instant mark_seen;                            ///< When the store had confirmed it.
+        std::map<host_id, incarnation_number> hosts;  ///< That may rely on the old primary.
+        bool knows_hosts = false;                     ///< `hosts` was read after the mark.
+        bool has_stepped_down = false;                ///< The old primary is a replica now.
+        bool may_be_promoted = false;  ///< A promotion call may have been carried out.
+    };
+
+    void run();
+    void check_groups();
+    void check_group(const group_id& group, const group_record& record);
+    primary_health health_of(const group_id& group, const endpoint_id& primary) const;
+    std::size_t hosts_without(const endpoint_id& endpoint) const;
+    duration patience_of_rank(const group_id& group) const;
+    void replace(const group_id& group, replacement kind);
+    /// True when the group has a primary again.
+    bool replace_once(const group_id& group, replacement kind);
+    void note_hosts(replacement_run& current);
+    std::optional<replacement_run> mark(const group_id& group, replacement kind);
+    std::vector<successor_candidate> ask_candidates(const group_id& group,
+                                                    const endpoint_id& old_primary,
+                                                    term_number& term) const;
+    std::optional<platform::endpoint_status> ask_status(const endpoint_id& endpoint) const;
+    std::optional<platform::endpoint_status> command(const endpoint_id& endpoint,
+                                                     std::string_view text) const;
+    void wait_until_unused(const replacement_run& current);
+    [[nodiscard]] bool has_stopped(const replacement_run& current, const host_id& host) const;
+    void hand_over_log(replacement_run& current);
+    bool promote(replacement_run& current);
+    bool wait_until_leads(replacement_run& current);
+    bool finish(replacement_run& current, const endpoint_id& primary);
+    bool write_record(replacement_run& current, group_record record,
+                      const std::vector<host_id>& forgotten);
+    void log_step(const replacement_run& current, std::string_view step,
+                  std::string_view outcome) const;
+
+    fleet_state& m_fleet;
+    store_sync& m_sync;
+    daemon::metrics& m_counters;
+    host_id m_self;
+    std::string m_promotion_address;
+    std::set<group_id> m_running;
+    /// Since when a replacement has been due, by group and revision of its record.
+    std::map<std::pair<group_id, revision_number>, instant> m_due_since;
+    bool m_stopped = false;
+};
+
+}  // namespace jasminelead::proxy
--- /dev/null
+++ b/proxy/own_records.cc
@@ -0,0 +1,148 @@
+#include "proxy/own_records.h"
+
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
+namespace jasminelead::proxy {
+namespace {
+
+namespace json = boost::json;
+
+constexpr std::string_view group_prefix = "jasminelead/fleet/group/";
+constexpr std::string_view host_prefix = "jasminelead/fleet/host/";
+constexpr std::string_view stopped_prefix = "jasminelead/stopped/";
+
+std::optional<json::object> parse(std::string_view text) {
+    boost::system::error_code error;
+    json::value value = json::parse(text, error);
+    if (error || !value.is_object()) {
+        return std::nullopt;
+    }
+    return std::move(value.get_object());
+}
+
+std::optional<std::string> text_of(const json::object& object, std::string_view name) {
+    const json::value* const value = object.if_contains(name);
+    if (value == nullptr || !value->is_string()) {
+        return std::nullopt;
+    }
+    return std::string{value->get_string()};
+}
+
+std::optional<std::uint64_t> number_of(const json::object& object, std::string_view name) {
+    const json::value* const value = object.if_contains(name);
+    boost::system::error_code error;
+    if (value == nullptr) {
+        return std::nullopt;
+    }
+    const auto number = value->to_number<std::uint64_t>(error);
+    if (error) {
+        return std::nullopt;
+    }
+    return number;
+}
+
+std::string with_prefix(std::string_view prefix, const std::string& name) {
+    return std::string{prefix}.append(name);
+}
+
+}  // namespace
+
+std::string group_key(const group_id& group) {
+    return with_prefix(group_prefix, group.str());
+}
+
+std::optional<group_id> group_of_key(std::string_view key) {
+    if (!key.starts_with(group_prefix)) {
+        return std::nullopt;
+    }
+    return group_id{key.substr(group_prefix.size())};
+}
+
+std::string encode_group_record(const group_record& record) {
+    const bool led = record.phase == leadership_phase::led;
+    return json::serialize(json::object{{"phase", led ? "led" : "changing"},
+                                        {"primary", record.primary.str()},
+                                        {"successor", record.successor.str()},
+                                        {"changed_by", record.changed_by.str()},
+                                        {"term", record.term}});
+}
+
+std::optional<group_record> decode_group_record(std::string_view text) {
+    const auto object = parse(text);
+    if (!object) {
+        return std::nullopt;
+    }
+    const auto phase = text_of(*object, "phase");
+    const auto primary = text_of(*object, "primary");
+    const auto successor = text_of(*object, "successor");
+    const auto changed_by = text_of(*object, "changed_by");
+    const auto term = number_of(*object, "term");
+    if (!phase || !primary || !successor || !changed_by || !term) {
+        return std::nullopt;
+    }
+    group_record record;
+    record.phase = *phase == "led" ? leadership_phase::led : leadership_phase::changing;
+    record.primary = endpoint_id{*primary};
+    record.successor = endpoint_id{*successor};
+    record.changed_by = host_id{*changed_by};
+    record.term = *term;
+    return record;
+}
+
+std::string host_key(const host_id& host) {
+    return with_prefix(host_prefix, host.str());
+}
+
+std::optional<host_id> host_of_key(std::string_view key) {
+    if (!key.starts_with(host_prefix)) {
+        return std::nullopt;
+    }
+    return host_id{key.substr(host_prefix.size())};
+}
+
+std::string encode_host_record(const host_record& record) {
+    json::array unreachable;
+    for (const endpoint_id& endpoint : record.unreachable) {
+        unreachable.emplace_back(endpoint.str());
+    }
+    return json::serialize(json::object{{"host", record.host.str()},
+                                        {"incarnation", record.incarnation},
+                                        {"peer", record.peer_address},
+                                        {"unreachable", std::move(unreachable)}});
+}
+
+std::optional<host_record> decode_host_record(std::string_view text) {
+    const auto object = parse(text);
+    if (!object) {
+        return std::nullopt;
+    }
+    const auto host = text_of(*object, "host");
+    const auto incarnation = number_of(*object, "incarnation");
+    const auto peer = text_of(*object, "peer");
+    if (!host || !incarnation || !peer) {
+        return std::nullopt;
+    }
+    host_record record{host_id{*host}, *incarnation, *peer, {}};
+    const json::value* const unreachable = object->if_contains("unreachable");
+    if (unreachable != nullptr && unreachable->is_array()) {
+        for (const json::value& endpoint : unreachable->get_array()) {
+            record.unreachable.emplace(endpoint.is_string() ? endpoint.get_string().c_str() : "");
+        }
+    }
+    return record;
+}
+
+std::string stop_prefix(const group_id& group) {
+    return with_prefix(stopped_prefix, group.str()) + "/";
+}
+
+bool is_stop_key(std::string_view key) {
+    return key.starts_with(stopped_prefix);
+}
+
+std::string stop_key(const group_id& group, const host_id& host) {
+    return stop_prefix(group) + host.str();
+}
+
+}  // namespace jasminelead::proxy
--- /dev/null
+++ b/proxy/session.cc
@@ -0,0 +1,346 @@
+#include "proxy/session.h"
+
+#include <array>
+#include <type_traits>
+#include <utility>
+
+#include "proxy/clock.h"
+#include "proxy/event_log.h"
+
+namespace jasminelead::proxy {
+namespace {
+
+using namespace literals;
+
+constexpr std::size_t read_bytes = std::size_t{4} * 1024;
+constexpr duration startup_timeout = 5_s;
+// Callers give up a startup that takes 2 s.
+constexpr duration config_wait = 1500_ms;
+constexpr duration write_timeout = 5_s;
+
+}  // namespace
+
+session::session(fleet_state& fleet, statement_router& router, daemon::metrics& counters,
+                 daemon::tcp::socket socket)
+    : m_fleet{fleet},
+      m_router{router},
+      m_counters{counters},
+      m_stream{fleet.home().io(), std::move(socket)} {}
+
+void session::serve() {
+    m_counters.add_connections(1);
+    if (start()) {
+        while (const auto line = read_line(idle_deadline())) {
+            if (!handle(*line)) {
+                break;
+            }
+        }
+    }
+    leave_transaction();
+    m_stream.close();
+    m_counters.add_connections(-1);
+}
+
+steady_time session::idle_deadline() const {
+    const bool limited = m_transaction.has_value() && m_transaction_config;
+    const duration limit = limited ? m_transaction_config->transaction_idle_limit : duration{};
+    return limit > duration{} ? to_steady(boot_now() + limit) : daemon::no_deadline;
+}
+
+/// Returns nothing when the connection has ended.
+std::optional<std::string> session::read_line(steady_time deadline) {
+    std::array<char, read_bytes> bytes{};
+    for (;;) {
+        if (const auto line = m_received.next()) {
+            m_arrived = boot_now();
+            return std::string{*line};
+        }
+        if (m_received.overflowed()) {
+            reply_fault(statement_fault::too_large, "the message is too large");
+            flush();
+            return std::nullopt;
+        }
+        if (m_closing && m_received.empty() && !m_transaction_begun) {
+            return std::nullopt;
+        }
+        boost::system::error_code error;
+        m_waiting = m_received.empty();
+        const std::size_t size = m_stream.read_some(boost::asio::buffer(bytes), deadline, error);
+        m_waiting = false;
+        if (error == boost::asio::error::timed_out && m_transaction) {
+            m_counters.count("aborted_transactions", "idle");
+            fail_transaction();
+            deadline = daemon::no_deadline;
+            continue;
+        }
+        if (error) {
+            return std::nullopt;
+        }
+        m_received.append({bytes.data(), size});
+    }
+}
+
+bool session::start() {
+    const auto line = read_line(to_steady(boot_now() + startup_timeout));
+    if (!line) {
+        return false;
+    }
+    const auto request = platform::decode_request(*line);
+    const auto* const startup = std::get_if<platform::startup_request>(&request);
+    if (startup == nullptr) {
+        platform::encode_error(m_out, statement_fault::malformed, "a startup was expected");
+        flush();
+        return false;
+    }
+    m_database = startup->database;
+    const instant give_up = boot_now() + config_wait;
+    while (!m_fleet.config.current() && m_fleet.changed.wait(to_steady(give_up))) {
+    }
+    if (!m_fleet.config.current()) {
+        m_counters.count("refusals", "no_configuration");
+        platform::encode_error(m_out, statement_fault::busy, "no configuration yet; not run");
+        flush();
+        return false;
+    }
+    if (route() == nullptr) {
+        m_counters.count("refusals", "unknown_database");
+        log_line{log_class::refusal, "startup_refused"}
+            .with("database", m_database)
+            .with("reason", "unknown_database")
+            .with("config", m_fleet.config.version())
+            .write();
+        platform::encode_error(m_out, statement_fault::unknown_database, m_database);
+        flush();
+        return false;
+    }
+    platform::encode_ready(m_out, m_state);
+    flush();
+    return true;
+}
+
+const database_route* session::route() {
+    if (!m_transaction_begun || !m_transaction_config) {
+        m_transaction_config = m_fleet.config.current();
+    }
+    return m_transaction_config->find(m_database);
+}
+
+bool session::handle(const std::string& line) {
+    const auto request = platform::decode_request(line);
+    if (std::holds_alternative<platform::terminate_request>(request)) {
+        return false;
+    }
+    if (const auto* const query = std::get_if<platform::query_request>(&request)) {
+        if (m_abort_transaction && m_transaction_begun) {
+            fail_transaction();
+        }
+        answer(*query);
+    } else {
+        reply_fault(statement_fault::malformed, "not a message of this protocol");
+    }
+    flush();
+    return m_stream.is_open();
+}
+
+void session::answer(const platform::query_request& query) {
+    const caller_statement decoded = platform::decode_statement(query.text);
+    const bool ends = std::holds_alternative<commit_statement>(decoded) ||
+                      std::holds_alternative<rollback_statement>(decoded);
+    if (m_state == transaction_state::failed && !ends) {
+        reply_fault(statement_fault::malformed, "the transaction has failed; end it first");
+        return;
+    }
+    std::visit(
+        [&](const auto& item) {
+            using type = std::decay_t<decltype(item)>;
+            if constexpr (std::is_same_v<type, begin_statement>) {
+                on_begin(item);
+            } else if constexpr (std::is_same_v<type, commit_statement>) {
+                on_finish(query, true);
+            } else if constexpr (std::is_same_v<type, rollback_statement>) {
+                on_finish(query, false);
+            } else if constexpr (std::is_same_v<type, item_statement>) {
+                on_forwarded(query, item.kind, std::nullopt, {});
+            } else if constexpr (std::is_same_v<type, execute_statement>) {
+                on_execute(query, item);
+            } else if constexpr (std::is_same_v<type, set_statement>) {
+                m_data.values[item.name] = item.value;
+                reply_done();
+            } else if constexpr (std::is_same_v<type, prepare_statement>) {
+                m_data.prepared[item.name] = prepared_statement{item.kind, item.shape};
+                reply_done();
+            } else if constexpr (std::is_same_v<type, deallocate_statement>) {
+                m_data.prepared.erase(item.name);
+                reply_done();
+            } else {
+                reply_fault(statement_fault::malformed, "not a statement");
+            }
+        },
+        decoded);
+}
+
+void session::on_begin(const begin_statement& statement) {
+    if (m_transaction_begun) {
+        reply_fault(statement_fault::malformed, "a transaction is open");
+        return;
+    }
+    m_transaction_config = m_fleet.config.current();
+    m_transaction_begun = true;
+    m_read_only = statement.read_only;
+    m_state = transaction_state::open;
+    reply_done();
+}
+
+void session::on_execute(const platform::query_request& query, const execute_statement& statement) {
+    const auto found = m_data.prepared.find(statement.name);
+    if (found == m_data.prepared.end()) {
+        reply_fault(statement_fault::unknown_prepared, statement.name);
+        return;
+    }
+    on_forwarded(query, found->second.kind, found->second, statement.arguments);
+}
+
+void session::on_forwarded(const platform::query_request& query, access kind,
+                           std::optional<prepared_statement> prepared, std::string arguments) {
+    forwarded_statement statement;
+    statement.id = query.id;
+    statement.text = query.text;
+    statement.kind = kind;
+    statement.prepared = std::move(prepared);
+    statement.arguments = std::move(arguments);
+    statement.arrived = m_arrived;
+    const database_route* const found = route();
+    if (found == nullptr) {
+        reply_fault(statement_fault::unknown_database, m_database);
+        return;
+    }
+    const auto keep_config = m_transaction_config;
+    if (m_transaction_begun) {
+        run_in_transaction(statement, *found);
+    } else {
+        reply(m_router.run(m_data, *found, statement));
+    }
+}
+
+void session::run_in_transaction(const forwarded_statement& statement, const database_route& used) {
+    if (!m_transaction) {
+        auto opened = m_router.begin(m_data, used, statement, m_read_only);
+        if (const auto* const refusal = std::get_if<statement_outcome>(&opened)) {
+            m_state = transaction_state::failed;
+            reply(*refusal);
+            return;
+        }
+        m_transaction = std::get<open_transaction>(std::move(opened));
+    }
+    const auto result = m_router.step(*m_transaction, m_data, used, statement);
+    if (!result.still_open) {
+        m_transaction.reset();
+        m_state = transaction_state::failed;
+    }
+    reply(result.outcome);
+}
+
+void session::on_finish(const platform::query_request& query, bool commits) {
+    if (!m_transaction_begun) {
+        reply_fault(statement_fault::malformed, "no transaction is open");
+        return;
+    }
+    const bool failed = m_state == transaction_state::failed;
+    const auto keep_config = m_transaction_config;
+    const database_route* const used = route();
+    m_state = transaction_state::idle;
+    if (!commits || failed || used == nullptr) {
+        m_transaction_begun = false;
+        if (commits) {
+            reply_fault(statement_fault::aborted, "rolled back");
+        } else {
+            reply_done();
+        }
+        flush();
+        leave_transaction();
+        return;
+    }
+    forwarded_statement statement;
+    statement.id = query.id;
+    statement.text = query.text;
+    statement.kind = access::write;
+    statement.arrived = m_arrived;
+    if (!m_transaction) {
+        auto opened = m_router.begin(m_data, *used, statement, m_read_only);
+        if (const auto* const refusal = std::get_if<statement_outcome>(&opened)) {
+            m_transaction_begun = false;
+            reply(*refusal);
+            return;
+        }
+        m_transaction = std::get<open_transaction>(std::move(opened));
+    }
+    const statement_outcome outcome = m_router.commit(*m_transaction, m_data, *used, statement);
+    m_transaction.reset();
+    m_transaction_begun = false;
+    reply(outcome);
+}
+
+void session::reply(const statement_outcome& outcome) {
+    if (outcome.fault) {
+        reply_fault(*outcome.fault, outcome.text);
+        return;
+    }
+    m_out.append(outcome.rows);
+    platform::encode_done(m_out, outcome.signature);
+    platform::encode_ready(m_out, m_state);
+}
+
+void session::reply_done() {
+    platform::encode_done(m_out, platform::own_signature());
+    platform::encode_ready(m_out, m_state);
+}
+
+void session::reply_fault(statement_fault fault, std::string_view text) {
+    m_counters.count("faults_answered", to_string(fault));
+    platform::encode_error(m_out, fault, text);
+    platform::encode_ready(m_out, m_state);
+}
+
+void session::fail_transaction() {
+    leave_transaction();
+    m_state = transaction_state::failed;
+    m_abort_transaction = false;
+}
+
+/// Gives up what the transaction holds.
+void session::leave_transaction() {
+    if (m_transaction) {
+        m_router.roll_back(*m_transaction);
+        m_transaction.reset();
+    }
+}
+
+void session::flush() {
+    if (m_out.empty()) {
+        return;
+    }
+    const auto error =
+        m_stream.write(boost::asio::buffer(m_out), to_steady(boot_now() + write_timeout));
+    m_out.clear();
+    if (error) {
+        m_stream.close();
+    }
+}
+
+void session::close_when_idle() {
+    m_closing = true;
+    if (is_idle()) {
+        m_stream.close();
+    }
+}
+
+void session::end_transaction() {
+    m_abort_transaction = true;
+    m_closing = true;
+    if (m_waiting && m_transaction_begun) {
+        // The caller learns it from the end of the connection; nothing of it is kept.
+        m_stream.close();
+    }
+}
+
+}  // namespace jasminelead::proxy
--- /dev/null
+++ b/proxy/session.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "daemon/fiber_stream.h"
+#include "daemon/metrics.h"
+#include "platform/wire.h"
+#include "proxy/fleet_state.h"
+#include "proxy/session_data.h"
+#include "proxy/statement_router.h"
+
+namespace jasminelead::proxy {
+
+/// One caller's connection, from its startup to its end.
+class session {
+public:
+    session(fleet_state& fleet, statement_router& router, daemon::metrics& counters,
+            daemon::tcp::socket socket);
+
+    /// Serves until the connection ends. Runs in a fiber of its own.
+    void serve();
+    /// Ends the session as soon as no statement is in progress and no transaction is open.
+    void close_when_idle();
+    /// Rolls an open transaction back at its next pause, so that the session can end.
+    void end_transaction();
+
+    [[nodiscard]] bool is_idle() const { return m_waiting && !m_transaction_begun; }
+
+private:
+    bool start();
+    std::optional<std::string> read_line(steady_time deadline);
+    steady_time idle_deadline() const;
+    bool handle(const std::string& line);
+    void answer(const platform::query_request& query);
+    void on_begin(const begin_statement& statement);
+    void on_finish(const platform::query_request& query, bool commits);
+    void on_forwarded(const platform::query_request& query, access kind,
+                      std::optional<prepared_statement> prepared, std::string arguments);
+    void on_execute(const platform::query_request& query, const execute_statement& statement);
+    void run_in_transaction(const forwarded_statement& statement, const database_route& route);
+    const database_route* route();
+    void reply(const statement_outcome& outcome);
+    void reply_done();
+    void reply_fault(statement_fault fault, std::string_view text);
+    void fail_transaction();
+    void leave_transaction();
+    void flush();
+
+    fleet_state& m_fleet;
+    statement_router& m_router;
+    daemon::metrics& m_counters;
+    daemon::fiber_stream m_stream;
+    platform::line_buffer m_received;
+    std::string m_out;
+    std::string m_database;
+    session_data m_data;
+    transaction_state m_state = transaction_state::idle;
+    bool m_transaction_begun =
+        false;  ///< The caller began one; it may not have reached an endpoint.
+    bool m_read_only = false;
+    std::shared_ptr<const routing_config> m_transaction_config;
+    std::optional<open_transaction> m_transaction;
+    instant m_arrived;
+    bool m_waiting = false;
+    bool m_closing = false;
+    bool m_abort_transaction = false;
+};
+
+}  // namespace jasminelead::proxy
--- /dev/null
+++ b/proxy/session_daemon.cc
@@ -0,0 +1,161 @@
+#include "proxy/session_daemon.h"
+
+#include <boost/fiber/operations.hpp>
+#include <utility>
+#include <vector>
+
+#include "proxy/clock.h"
+#include "proxy/event_log.h"
+
+namespace jasminelead::proxy {
+namespace {
+
+using namespace literals;
+
+constexpr duration log_flush_interval = 100_ms;
+constexpr duration stop_poll = 20_ms;
+// The balancer needs two missed probes, a second apart, to take a daemon out.
+constexpr duration balancer_delay = 2200_ms;
+// Shares of the grace period at which idle sessions, open transactions and the rest are closed.
+constexpr double transaction_share = 0.5;
+constexpr double last_share = 0.85;
+
+}  // namespace
+
+session_daemon::session_daemon(settings options)
+    : m_settings{std::move(options)},
+      m_fleet{m_home, m_settings.data_centre},
+      m_sync{m_fleet, m_counters, m_settings},
+      m_failover{m_fleet, m_sync, m_counters, m_settings},
+      m_router{m_fleet, m_counters},
+      m_readiness{m_home, [this](std::string_view target) { return readiness_page(target); }},
+      m_metrics{m_home, [this](std::string_view target) { return metrics_page(target); }},
+      m_acceptor{m_home.io()} {}
+
+session_daemon::~session_daemon() = default;
+
+std::optional<std::string> session_daemon::start() {
+    if (auto fault = open_listener(m_acceptor, m_settings.listen)) {
+        return fault;
+    }
+    if (auto fault = m_readiness.listen(m_settings.readiness)) {
+        return fault;
+    }
+    if (m_settings.metrics_port != 0) {
+        const std::string address =
+            m_settings.address + ":" + std::to_string(m_settings.metrics_port);
+        if (auto fault = m_metrics.listen(address)) {
+            return fault;
+        }
+    }
+    m_home.post([this] {
+        m_sync.start();
+        m_failover.start();
+        accept_next();
+        m_home.spawn([this] { run_log_flush(); });
+    });
+    return std::nullopt;
+}
+
+void session_daemon::accept_next() {
+    m_acceptor.async_accept([this](boost::system::error_code error, daemon::tcp::socket socket) {
+        if (error == boost::asio::error::operation_aborted || !m_acceptor.is_open()) {
+            return;
+        }
+        if (!error) {
+            accept(std::move(socket));
+        }
+        accept_next();
+    });
+}
+
+void session_daemon::accept(daemon::tcp::socket socket) {
+    const auto accepted =
+        std::make_shared<session>(m_fleet, m_router, m_counters, std::move(socket));
+    m_sessions.insert(accepted);
+    m_home.spawn([this, accepted] {
+        accepted->serve();
+        m_sessions.erase(accepted);
+    });
+}
+
+bool session_daemon::is_ready() const {
+    return !m_stopping && m_sync.is_loaded();
+}
+
+page session_daemon::readiness_page(std::string_view) {
+    note_ready();
+    const bool ready = is_ready();
+    return {ready ? 200U : 503U, "text/plain", ready ? "ready\n" : "not ready\n"};
+}
+
+void session_daemon::note_ready() {
+    const bool ready = is_ready();
+    if (ready != m_was_ready) {
+        m_was_ready = ready;
+        log_line{log_class::change, ready ? "ready" : "not_ready"}
+            .with("config", m_fleet.config.version())
+            .with("stopping", m_stopping ? "true" : "false")
+            .write();
+    }
+}
+
+page session_daemon::metrics_page(std::string_view target) {
+    if (target != "/metrics") {
+        return {404, "text/plain", "not found\n"};
+    }
+    return {200, "text/plain; version=0.0.4", m_counters.text()};
+}
+
+void session_daemon::run_log_flush() {
+    while (!m_stopped) {
+        flush_log();
+        boost::this_fiber::sleep_until(to_steady(boot_now() + log_flush_interval));
+    }
+}
+
+void session_daemon::stop_gracefully() {
+    m_home.post([this] {
+        if (!m_stopping.exchange(true)) {
+            m_home.spawn([this] { run_stop(); });
+        }
+    });
+}
+
+void session_daemon::run_stop() {
+    const instant begun = boot_now();
+    log_line{log_class::change, "stopping"}.with("sessions", m_sessions.size()).write();
+    note_ready();
+    const instant close_idle = begun + balancer_delay;
+    const instant end_transactions = begun + m_settings.stop_grace * transaction_share;
+    const instant end = begun + m_settings.stop_grace * last_share;
+    while (boot_now() < end && !(boot_now() >= close_idle && m_sessions.empty())) {
+        const instant now = boot_now();
+        const std::vector<std::shared_ptr<session>> open{m_sessions.begin(), m_sessions.end()};
+        for (const auto& item : open) {
+            if (now >= end_transactions) {
+                item->end_transaction();
+            }
+            if (now >= close_idle) {
+                item->close_when_idle();
+            }
+        }
+        boost::this_fiber::sleep_until(to_steady(boot_now() + stop_poll));
+    }
+    m_sync.stop();
+    m_failover.stop();
+    log_line{log_class::change, "stopped"}
+        .with("took_ms", boot_now() - begun)
+        .with("sessions_left", m_sessions.size())
+        .with("log_lines_dropped", dropped_lines())
+        .write();
+    flush_log();
+    m_stopped = true;
+    m_stopped.notify_all();
+}
+
+void session_daemon::wait_stopped() {
+    m_stopped.wait(false);
+}
+
+}  // namespace jasminelead::proxy
--- /dev/null
+++ b/proxy/session_daemon.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "daemon/metrics.h"
+#include "daemon/worker.h"
+#include "proxy/failover_agent.h"
+#include "proxy/fleet_state.h"
+#include "proxy/session.h"
+#include "proxy/settings.h"
+#include "proxy/statement_router.h"
+#include "proxy/status_pages.h"
+#include "proxy/store_sync.h"
+
+namespace jasminelead::proxy {
+
+/// A running daemon that serves sessions.
+class session_daemon {
+public:
+    explicit session_daemon(settings options);
+    ~session_daemon();
+    session_daemon(const session_daemon&) = delete;
+    session_daemon& operator=(const session_daemon&) = delete;
+    session_daemon(session_daemon&&) = delete;
+    session_daemon& operator=(session_daemon&&) = delete;
+
+    /// Returns the reason when the daemon cannot listen.
+    std::optional<std::string> start();
+    /// Starts a planned stop. Any thread.
+    void stop_gracefully();
+    /// Blocks until a planned stop has ended.
+    void wait_stopped();
+
+    [[nodiscard]] daemon::metrics& counters() { return m_counters; }
+
+private:
+    void accept_next();
+    void accept(daemon::tcp::socket socket);
+    [[nodiscard]] bool is_ready() const;
+    page readiness_page(std::string_view target);
+    page metrics_page(std::string_view target);
+    void run_log_flush();
+    void run_stop();
+    void note_ready();
+
+    settings m_settings;
+    daemon::metrics m_counters;
+    daemon::worker m_home;
+    fleet_state m_fleet;
+    store_sync m_sync;
+    failover_agent m_failover;
+    statement_router m_router;
+    status_pages m_readiness;
+    status_pages m_metrics;
+    daemon::tcp::acceptor m_acceptor;
+    std::set<std::shared_ptr<session>> m_sessions;
+    std::atomic<bool> m_stopping = false;
+    std::atomic<bool> m_stopped = false;
+    bool m_was_ready = false;
+};
+
+}  // namespace jasminelead::proxy
--- /dev/null
+++ b/proxy/session_data.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "jasminelead/read_bounds.h"
+#include "jasminelead/routing_config.h"
+#include "jasminelead/statement.h"
+#include "jasminelead/statement_fault.h"
+#include "platform/wire.h"
+
+/// What a session has set, and the statements that it sends.
+namespace jasminelead::proxy {
+
+struct prepared_statement {
+    access kind = access::read;
+    std::string shape;
+};
+
+struct session_data {
+    std::map<std::string, std::string> values;
+    std::map<std::string, prepared_statement, std::less<>> prepared;
+    session_writes writes;
+    group_id written_group;  ///< Group of `writes`.
+};
+
+/// A statement that an endpoint has to run.
+struct forwarded_statement {
+    std::string id;
+    std::string text;  ///< As the caller sent it; unused when `prepared` is set.
+    access kind = access::read;
+    std::optional<prepared_statement> prepared;
+    std::string arguments;  ///< Of a prepared statement.
+    instant arrived;
+};
+
+/// The answer to one statement of a caller.
+struct statement_outcome {
+    std::optional<statement_fault> fault;
+    std::string text;  ///< Explains the fault.
+    std::string rows;
+    std::string signature;
+};
+
+inline statement_outcome make_fault(statement_fault fault, std::string_view text) {
+    return {fault, std::string{text}, {}, {}};
+}
+
+}  // namespace jasminelead::proxy
--- /dev/null
+++ b/proxy/settings.cc
@@ -0,0 +1,123 @@
+#include "proxy/settings.h"
+
+#include <yaml-cpp/yaml.h>
+
+#include <fstream>
+#include <set>
+#include <sstream>
+#include <string_view>
+
+#include "daemon/fiber_stream.h"
+
+namespace jasminelead::proxy {
+namespace {
+
+/// Reads the members of the document and collects an error for each fault.
+class reader {
+public:
+    explicit reader(const YAML::Node& document) : m_document{document} {}
+
+    std::string text(const char* name) {
+        const YAML::Node node = find(name);
+        if (!node || !node.IsScalar() || node.Scalar().empty()) {
+            m_errors.push_back(std::string{name} + ": missing");
+            return {};
+        }
+        return node.Scalar();
+    }
+    std::string text_or(const char* name, std::string missing) {
+        const YAML::Node node = find(name);
+        return node && node.IsScalar() ? node.Scalar() : std::move(missing);
+    }
+    std::string address(const char* name) {
+        std::string value = text(name);
+        if (!value.empty() && !daemon::parse_address(value)) {
+            m_errors.push_back(std::string{name} + ": not an IP address and port: " + value);
+        }
+        return value;
+    }
+    double number_or(const char* name, double missing, double least, double most) {
+        const YAML::Node node = find(name);
+        if (!node) {
+            return missing;
+        }
+        double value = 0;
+        if (!YAML::convert<double>::decode(node, value) || value < least || value > most) {
+            m_errors.push_back(std::string{name} + ": out of range");
+            return missing;
+        }
+        return value;
+    }
+    settings_errors finish() {
+        for (const auto& member : m_document) {
+            const std::string name = member.first.Scalar();
+            if (!m_read.contains(name)) {
+                m_errors.push_back(name + ": unknown");
+            }
+        }
+        return std::move(m_errors);
+    }
+
+private:
+    YAML::Node find(const char* name) {
+        m_read.insert(name);
+        return m_document[name];
+    }
+
+    const YAML::Node m_document;
+    std::set<std::string> m_read;
+    settings_errors m_errors;
+};
+
+settings read_members(reader& members) {
+    constexpr double most_port = 65535;
+    constexpr double most_grace_ms = 600'000;
+    settings result;
+    result.host = host_id{members.text("host")};
+    result.data_centre = data_centre_id{members.text("data_centre")};
+    result.listen = members.address("listen");
+    result.readiness = members.address("readiness");
+    result.address = members.text("address");
+    result.metrics_port =
+        static_cast<std::uint16_t>(members.number_or("metrics_port", 0, 0, most_port));
+    result.peer_port = static_cast<std::uint16_t>(members.number_or("peer_port", 0, 0, most_port));
+    result.store = members.address("store");
+    result.promotion = members.text_or("promotion", "");
+    result.stop_grace = duration::from_ms(
+        members.number_or("stop_grace_ms", result.stop_grace.ms(), 100, most_grace_ms));
+    result.log_level = members.text_or("log_level", "info");
+    return result;
+}
+
+}  // namespace
+
+std::variant<settings, settings_errors> parse_settings(const std::string& yaml) {
+    YAML::Node document;
+    try {
+        document = YAML::Load(yaml);
+    } catch (const YAML::Exception& error) {
+        return settings_errors{error.what()};
+    }
+    if (!document.IsMap()) {
+        return settings_errors{"the settings are not a map"};
+    }
+    reader members{document};
+    settings result = read_members(members);
+    settings_errors errors = members.finish();
+    if (!errors.empty()) {
+        return errors;
+    }
+    return result;
+}
+
+std::variant<settings, settings_errors> load_settings(const std::string& path) {
+    std::ifstream file{path};
+    if (!file) {
+        return settings_errors{path + ": cannot be read"};
+    }
+    std::stringstream text;
+    text << file.rdbuf();
+    return parse_settings(text.str());
+}
+
+}  // namespace jasminelead::proxy
--- /dev/null
+++ b/proxy/statement_router.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <string_view>
+#include <variant>
+
+#include "daemon/metrics.h"
+#include "jasminelead/read_selector.h"
+#include "proxy/fleet_state.h"
+#include "proxy/session_data.h"
+#include "proxy/statement_exchange.h"
+
+/// Runs statements and transactions of sessions on the endpoints that may answer them.
+namespace jasminelead::proxy {
+
+/// A transaction on the connection that it holds.
+struct open_transaction {
+    std::shared_ptr<endpoint_pool> pool;
+    held_connection connection;
+    std::optional<primary_permit> permit;  ///< Nothing for a read-only one on a replica.
+    std::optional<run_slot> slot;          ///< Left from the begin for the first statement.
+    bool wrote = false;
+};
+
+class statement_router {
+public:
+    statement_router(fleet_state& fleet, daemon::metrics& counters);
+
+    /// One statement outside a transaction.
+    statement_outcome run(session_data& session, const database_route& route,
+                          const forwarded_statement& statement);
+    /// Begins a transaction where its statements can run.
+    std::variant<open_transaction, statement_outcome> begin(session_data& session,
+                                                            const database_route& route,
+                                                            const forwarded_statement& first,
+                                                            bool read_only);
+    /// A statement of the transaction. With a fault the transaction has ended, unless
+    /// `still_open` is set.
+    struct step_outcome {
+        statement_outcome outcome;
+        bool still_open = true;
+    };
+    step_outcome step(open_transaction& transaction, session_data& session,
+                      const database_route& route, const forwarded_statement& statement);
+    statement_outcome commit(open_transaction& transaction, session_data& session,
+                             const database_route& route, const forwarded_statement& statement);
+    /// Rolls back and gives the connection back.
+    void roll_back(open_transaction& transaction);
+
+private:
+    struct attempt;
+    struct primary_run {
+        std::shared_ptr<endpoint_pool> pool;
+        primary_permit permit;
+        acquired_run run;
+    };
+
+    statement_outcome run_read(session_data& session, const database_route& route,
+                               const forwarded_statement& statement);
+    statement_outcome run_on_primary(session_data& session, const database_route& route,
+                                     const forwarded_statement& statement);
+    std::variant<primary_run, statement_outcome> acquire_primary(attempt& current,
+                                                                 bool needs_live_link);
+    std::variant<acquired_run, reason> acquire_read(attempt& current,
+                                                    const std::shared_ptr<endpoint_pool>& pool);
+    std::shared_ptr<endpoint_pool> choose_reader(attempt& current);
+    std::optional<statement_outcome> wait_for_endpoint(attempt& current);
+    bool confirm(const group_id& group, const primary_permit& permit, instant give_up);
+    statement_outcome confirmed(attempt& current, const primary_run& used,
+                                const endpoint_answer& answer);
+    void note_mark(const group_id& group, const std::optional<primary_permit>& permit, instant sent,
+                   const endpoint_answer& answer);
+    void note_write(session_data& session, const group_id& group, const primary_permit& permit,
+                    const endpoint_answer& answer);
+    void log_attempt(const attempt& current, const endpoint_id& endpoint, std::string_view outcome);
+
+    fleet_state& m_fleet;
+    daemon::metrics& m_counters;
+};
+
+}  // namespace jasminelead::proxy
--- /dev/null
+++ b/proxy/status_pages.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "daemon/fiber_stream.h"
+#include "daemon/worker.h"
+
+namespace jasminelead::proxy {
+
+struct page {
+    unsigned status = 200;
+    std::string_view content_type = "text/plain";
+    std::string body;
+};
+
+/// Returns the page for a target such as "/metrics".
+using page_source = std::function<page(std::string_view target)>;
+
+/// Answers GET requests of probes and monitoring on one address. Belongs to one worker.
+class status_pages {
+public:
+    status_pages(daemon::worker& home, page_source source);
+
+    /// Returns the reason when it cannot listen.
+    std::optional<std::string> listen(const std::string& address);
+    void stop();
+
+private:
+    void accept_next();
+    void serve(daemon::tcp::socket socket);
+    bool answer_one(daemon::fiber_stream& stream, std::string& received);
+
+    daemon::worker& m_home;
+    page_source m_source;
+    daemon::tcp::acceptor m_acceptor;
+};
+
+/// Binds and listens; returns the reason when that fails.
+std::optional<std::string> open_listener(daemon::tcp::acceptor& acceptor,
+                                         const std::string& address);
+
+}  // namespace jasminelead::proxy
--- /dev/null
+++ b/src/primary_replacement.cc
@@ -0,0 +1,39 @@
+#include "jasminelead/primary_replacement.h"
+
+#include <tuple>
+
+namespace jasminelead {
+namespace {
+
+bool is_most(std::size_t part, std::size_t whole) {
+    return part * 2 > whole;
+}
+
+}  // namespace
+
+/// A minority that is cut off must not take the primary from the majority that reaches it, and two
+/// halves must not take it from each other in turns.
+replacement decide_replacement(const primary_health& health) {
+    if (!health.is_listed || health.sees_itself_as_replica ||
+        is_most(health.hosts_without_primary, health.hosts)) {
+        return replacement::urgent;
+    }
+    return health.is_leaving ? replacement::planned : replacement::none;
+}
+
+std::optional<std::size_t> choose_successor(std::span<const successor_candidate> candidates,
+                                            std::size_t hosts) {
+    const auto rank = [hosts](const successor_candidate& candidate) {
+        return std::tuple{!is_most(candidate.hosts_without, hosts), candidate.received,
+                          candidate.is_near};
+    };
+    std::optional<std::size_t> best;
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        if (!best || rank(candidates[i]) > rank(candidates[*best])) {
+            best = i;
+        }
+    }
+    return best;
+}
+
+}  // namespace jasminelead
--- /dev/null
+++ b/src/read_bounds.cc
@@ -0,0 +1,66 @@
+#include "jasminelead/read_bounds.h"
+
+#include <algorithm>
+
+namespace jasminelead {
+namespace {
+
+using namespace literals;
+
+constexpr duration mark_spacing = 20_ms;
+// Longer than the highest staleness of a route in use; older marks bound no read.
+constexpr duration mark_lifetime = 12_s;
+
+}  // namespace
+
+void read_bounds::record(const primary_mark& mark) {
+    if (!m_marks.empty()) {
+        const primary_mark& last = m_marks.back();
+        if (mark.leadership < last.leadership || mark.sent <= last.sent) {
+            return;
+        }
+        // Positions of an earlier primary may have been lost in the promotion.
+        if (mark.leadership > last.leadership) {
+            m_marks.clear();
+        }
+    }
+    // The newest mark always stays; its predecessor goes when its neighbours are close.
+    const std::size_t size = m_marks.size();
+    if (size >= 2 && mark.sent - m_marks[size - 2].sent < mark_spacing) {
+        m_marks.pop_back();
+    }
+    m_marks.push_back(mark);
+    while (mark.sent - m_marks.front().sent > mark_lifetime) {
+        m_marks.pop_front();
+    }
+}
+
+std::optional<log_point> read_bounds::required(instant arrived, duration max_stale,
+                                               const session_writes& own) const {
+    const instant since = arrived - max_stale;
+    const auto oldest = std::partition_point(m_marks.begin(), m_marks.end(),
+                                             [since](const auto& m) { return m.sent < since; });
+    if (oldest == m_marks.end()) {
+        return std::nullopt;
+    }
+    if (!own.point) {
+        return oldest->point;
+    }
+    if (own.leadership == oldest->leadership) {
+        return std::max(oldest->point, *own.point);
+    }
+    // The write belongs to an earlier primary. What survived of it is below the first position of
+    // the present one; what did not survive can never be read.
+    if (own.leadership < oldest->leadership) {
+        return oldest->point;
+    }
+    return std::nullopt;
+}
+
+duration read_bounds::lag(const log_point& point, instant now) const {
+    const auto above = std::partition_point(m_marks.begin(), m_marks.end(),
+                                            [&point](const auto& m) { return m.point <= point; });
+    return above == m_marks.end() ? duration{} : now - above->sent;
+}
+
+}  // namespace jasminelead
--- /dev/null
+++ b/src/read_selector.cc
@@ -0,0 +1,60 @@
+#include "jasminelead/read_selector.h"
+
+namespace jasminelead {
+namespace {
+
+using namespace literals;
+
+// A read from another data centre costs its round trip and bytes between data centres.
+constexpr duration remote_cost = 12_ms;
+// Writes can only go to the primary, so reads leave it free while replicas do as well.
+constexpr duration primary_cost = 8_ms;
+// One refused attempt and the round trip of the next one.
+constexpr duration behind_cost = 25_ms;
+constexpr duration assumed_time = 15_ms;
+
+bool is_likely_behind(const read_candidate& candidate, const read_need& need) {
+    if (candidate.is_primary || (candidate.point && *candidate.point >= *need.after)) {
+        return false;
+    }
+    return candidate.lag >= need.point_age;
+}
+
+duration cost(const read_candidate& candidate, const read_need& need) {
+    const duration mean = candidate.mean_time > duration{} ? candidate.mean_time : assumed_time;
+    const double ahead = static_cast<double>(candidate.running + candidate.waiting);
+    duration total = mean * (ahead / static_cast<double>(candidate.slots) + 1);
+    if (!candidate.is_local) {
+        total = total + remote_cost;
+    }
+    if (candidate.is_primary) {
+        total = total + primary_cost;
+    }
+    if (need.after && is_likely_behind(candidate, need)) {
+        total = total + behind_cost;
+    }
+    return total;
+}
+
+}  // namespace
+
+std::optional<std::size_t> choose_read_endpoint(std::span<const read_candidate> candidates,
+                                                const read_need& need) {
+    std::optional<std::size_t> best;
+    duration best_cost;
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        const read_candidate& candidate = candidates[i];
+        const bool can_answer = candidate.is_primary || need.after.has_value();
+        if (!candidate.is_reachable || candidate.is_excluded || !can_answer) {
+            continue;
+        }
+        const duration candidate_cost = cost(candidate, need);
+        if (!best || candidate_cost < best_cost) {
+            best = i;
+            best_cost = candidate_cost;
+        }
+    }
+    return best;
+}
+
+}  // namespace jasminelead
