Keep hosts alive by leases in the store and remove lost ones

Change: each host renews a lease of the store; hosts without one do not count in votes, and are removed when they do not answer a ping either. A daemon for whose records nobody vouches says that it is not ready. Confirmations of leases come every 600 ms instead of 400 ms, which the lease of 2 s allows. SIGHUP reloads the settings.

--- a/daemon/main.cc
+++ b/daemon/main.cc
@@ -85,9 +85,31 @@
     std::_Exit(EXIT_SUCCESS);
 }
 
-/// Waits for signals on the calling thread until the daemon has stopped.
-int serve_sessions(const proxy::settings& loaded) {
-    const sigset_t signals = block_signals();
+void reload_sessions(proxy::session_daemon& running, const std::string& path) {
+    const auto loaded = proxy::load_settings(path);
+    if (const auto* const errors = std::get_if<proxy::settings_errors>(&loaded)) {
+        running.report_bad_settings(*errors);
+        return;
+    }
+    running.reload(std::get<proxy::settings>(loaded));
+}
+
+/// Reloads the settings at SIGHUP and stops the daemon at any other signal.
+void watch_session_signals(proxy::session_daemon& running, const std::string& path,
+                           const sigset_t& signals) {
+    std::thread{[&running, path, signals] {
+        int number = SIGHUP;
+        while (sigwait(&signals, &number) == 0 && number == SIGHUP) {
+            reload_sessions(running, path);
+        }
+        running.stop_gracefully();
+    }}.detach();
+}
+
+int serve_sessions(const proxy::settings& loaded, const std::string& path) {
+    sigset_t signals = block_signals();
+    sigaddset(&signals, SIGHUP);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     proxy::start_log(loaded.log_level);
     proxy::session_daemon running{loaded};
     if (const auto fault = running.start()) {
@@ -100,11 +122,7 @@
         .with("data_centre", loaded.data_centre)
         .with("listen", loaded.listen)
         .write();
-    std::thread{[&running, signals] {
-        int number = 0;
-        sigwait(&signals, &number);
-        running.stop_gracefully();
-    }}.detach();
+    watch_session_signals(running, path, signals);
     running.wait_stopped();
     // The signal thread still refers to the daemon, so the process ends without its destructor.
     std::_Exit(EXIT_SUCCESS);
@@ -126,12 +144,13 @@
 }
 
 int run_sessions(const cxxopts::ParseResult& arguments) {
-    const auto loaded = proxy::load_settings(settings_path(arguments));
+    const std::string path = settings_path(arguments);
+    const auto loaded = proxy::load_settings(path);
     if (const auto* const errors = std::get_if<proxy::settings_errors>(&loaded)) {
         return report(*errors);
     }
     const bool only_check = arguments.count("check") > 0;
-    return only_check ? EXIT_SUCCESS : serve_sessions(std::get<proxy::settings>(loaded));
+    return only_check ? EXIT_SUCCESS : serve_sessions(std::get<proxy::settings>(loaded), path);
 }
 
 int run(const cxxopts::ParseResult& arguments) {
--- a/proxy/event_log.cc
+++ b/proxy/event_log.cc
@@ -179,6 +179,10 @@
 void start_log(std::string_view level) {
     log4cxx::BasicConfigurator::resetConfiguration();
     log4cxx::BasicConfigurator::configure(appender());
+    set_log_level(level);
+}
+
+void set_log_level(std::string_view level) {
     logger()->setLevel(log4cxx::Level::toLevel(std::string{level}));
 }
 
--- a/proxy/event_log.h
+++ b/proxy/event_log.h
@@ -42,6 +42,7 @@
 
 /// Lines are kept in memory until `flush_log`. `level` is a name of log4cxx.
 void start_log(std::string_view level);
+void set_log_level(std::string_view level);
 /// Writes as much as the output takes without waiting.
 void flush_log();
 /// Lines that were given up because of the rate or a blocked output.
--- a/proxy/failover_agent.cc
+++ b/proxy/failover_agent.cc
@@ -49,9 +49,7 @@
       m_promotion_address{options.promotion} {}
 
 void failover_agent::start() {
-    if (!m_promotion_address.empty()) {
-        m_fleet.home().spawn([this] { run(); });
-    }
+    m_fleet.home().spawn([this] { run(); });
 }
 
 void failover_agent::run() {
@@ -62,6 +60,9 @@
 }
 
 void failover_agent::check_groups() {
+    if (m_promotion_address.empty()) {
+        return;
+    }
     // Without a recent answer of the store the views of the other hosts are old.
     if (!m_fleet.lease.is_current(boot_now()) || !m_sync.knows_hosts(boot_now())) {
         m_due_since.clear();
@@ -109,14 +110,18 @@
 
 std::size_t failover_agent::hosts_without(const endpoint_id& endpoint) const {
     const auto& hosts = m_sync.records().hosts();
-    return static_cast<std::size_t>(std::count_if(
-        hosts.begin(), hosts.end(),
-        [&endpoint](const auto& host) { return host.second.unreachable.contains(endpoint); }));
+    const auto live = m_sync.records().live_hosts(boot_now());
+    return static_cast<std::size_t>(
+        std::count_if(live.begin(), live.end(), [&](const host_id& host) {
+            const auto* const told = m_peers.unreachable_from(host);
+            const auto& unreachable = told != nullptr ? *told : hosts.at(host).unreachable;
+            return unreachable.contains(endpoint);
+        }));
 }
 
 primary_health failover_agent::health_of(const group_id& group, const endpoint_id& primary) const {
     primary_health health;
-    health.hosts = m_sync.records().hosts().size();
+    health.hosts = m_sync.records().live_hosts(boot_now()).size();
     health.hosts_without_primary = hosts_without(primary);
     const auto pool = m_fleet.pool(primary);
     // While no endpoint of the group is listed, the list is not known yet.
@@ -134,9 +139,9 @@
         return XXH64(text.data(), text.size(), 0);
     };
     const auto own = weight(m_self);
-    const auto& hosts = m_sync.records().hosts();
-    const auto before = std::count_if(hosts.begin(), hosts.end(),
-                                      [&](const auto& host) { return weight(host.first) < own; });
+    const auto live = m_sync.records().live_hosts(boot_now());
+    const auto before = std::count_if(live.begin(), live.end(),
+                                      [&](const host_id& host) { return weight(host) < own; });
     return rank_delay * static_cast<double>(before);
 }
 
@@ -244,7 +249,8 @@
     current.may_be_promoted = known->phase == leadership_phase::changing;
     const revision_number before = known->revision;
     const auto candidates = ask_candidates(group, known->primary, current.term);
-    const auto chosen = choose_successor(candidates, m_sync.records().hosts().size());
+    const auto chosen =
+        choose_successor(candidates, m_sync.records().live_hosts(boot_now()).size());
     if (!chosen) {
         log_step(current, "choose_successor", "none_reachable");
         return std::nullopt;
--- a/proxy/failover_agent.h
+++ b/proxy/failover_agent.h
@@ -23,6 +23,7 @@
                    daemon::metrics& counters, const settings& options);
 
     void start();
+    void set_promotion_address(const std::string& address) { m_promotion_address = address; }
     void stop() { m_stopped = true; }
     /// True while this daemon replaces a primary, or has a mark whose outcome it does not know.
     [[nodiscard]] bool is_replacing() const { return !m_running.empty(); }
--- a/proxy/own_records.cc
+++ b/proxy/own_records.cc
@@ -10,6 +10,7 @@
 
 constexpr std::string_view group_prefix = "jasminelead/fleet/group/";
 constexpr std::string_view host_prefix = "jasminelead/fleet/host/";
+constexpr std::string_view alive_prefix = "jasminelead/alive/";
 constexpr std::string_view stopped_prefix = "jasminelead/stopped/";
 
 std::optional<json::object> parse(std::string_view text) {
@@ -101,6 +102,17 @@
     return host_id{key.substr(host_prefix.size())};
 }
 
+std::string alive_key(const host_id& host) {
+    return with_prefix(alive_prefix, host.str());
+}
+
+std::optional<host_id> host_of_alive_key(std::string_view key) {
+    if (!key.starts_with(alive_prefix)) {
+        return std::nullopt;
+    }
+    return host_id{key.substr(alive_prefix.size())};
+}
+
 std::string encode_host_record(const host_record& record) {
     json::array unreachable;
     for (const endpoint_id& endpoint : record.unreachable) {
--- a/proxy/own_records.h
+++ b/proxy/own_records.h
@@ -10,6 +10,8 @@
 /// The daemons' own records in the store.
 namespace jasminelead::proxy {
 
+/// Prefix of all of them.
+inline constexpr std::string_view own_prefix = "jasminelead/";
 /// Prefix of the records that `lease_confirmation` reads in one call.
 inline constexpr std::string_view fleet_prefix = "jasminelead/fleet/";
 
@@ -33,6 +35,10 @@
 std::string encode_host_record(const host_record& record);
 std::optional<host_record> decode_host_record(std::string_view text);
 
+/// Exists while a host renews its lease in the store.
+std::string alive_key(const host_id& host);
+std::optional<host_id> host_of_alive_key(std::string_view key);
+
 /// Acknowledgements that a host has stopped using the primary of a group.
 std::string stop_prefix(const group_id& group);
 bool is_stop_key(std::string_view key);
--- a/proxy/peer_sync.cc
+++ b/proxy/peer_sync.cc
@@ -12,10 +12,16 @@
 using namespace literals;
 
 // The store has missed more than one confirmation.
-constexpr duration store_patience = 700_ms;
+constexpr duration store_patience = 900_ms;
 constexpr duration round_interval = 200_ms;
 constexpr duration answer_timeout = 180_ms;
 constexpr duration told_lifetime = 2_s;
+constexpr duration cleanup_interval = 1_s;
+// A process that was killed is usually back by then.
+constexpr duration lost_patience = 3_s;
+constexpr duration removal_timeout = 1_s;
+// Rounds without an answer that vouches for the records.
+constexpr std::uint32_t isolated_rounds = 2;
 constexpr std::size_t most_idle_connections = 2;
 
 }  // namespace
@@ -26,14 +32,21 @@
       m_sync{sync},
       m_counters{counters},
       m_self{options.host},
+      m_own_address{options.peer},
       m_seeds{options.seeds},
       m_pool{fleet.home().io(), most_idle_connections},
       m_answered{fleet.home().io()} {
-    std::erase(m_seeds, options.peer);
+    std::erase(m_seeds, m_own_address);
+}
+
+void peer_sync::set_seeds(const std::vector<std::string>& seeds) {
+    m_seeds = seeds;
+    std::erase(m_seeds, m_own_address);
 }
 
 void peer_sync::start() {
     m_fleet.home().spawn([this] { run(); });
+    m_fleet.home().spawn([this] { run_cleanup(); });
 }
 
 void peer_sync::run() {
@@ -43,11 +56,65 @@
             ask_all();
         } else {
             m_granted_before = false;
+            m_lonely_rounds = 0;
         }
         boost::this_fiber::sleep_until(to_steady(begun + round_interval));
     }
 }
 
+/// Removes the registrations of hosts that are gone for good. One that is alive and was only cut
+/// off registers again; until then it has no lease.
+void peer_sync::run_cleanup() {
+    while (!m_stopped) {
+        boost::this_fiber::sleep_until(to_steady(boot_now() + cleanup_interval));
+        if (m_sync.confirmed_age(boot_now()) < store_patience) {
+            remove_lost_hosts();
+        }
+    }
+}
+
+void peer_sync::remove_lost_hosts() {
+    const instant now = boot_now();
+    const std::set<host_id> live = m_sync.records().live_hosts(now);
+    const auto hosts = m_sync.records().hosts();
+    std::erase_if(m_lost_since, [&](const auto& lost) {
+        return live.contains(lost.first) || !hosts.contains(lost.first);
+    });
+    for (const auto& [host, record] : hosts) {
+        if (live.contains(host) || host == m_self) {
+            continue;
+        }
+        const instant since = m_lost_since.emplace(host, now).first->second;
+        if (since + lost_patience > now || is_answering(record.peer_address)) {
+            continue;
+        }
+        platform::store_transaction transaction;
+        transaction.deletions.push_back(host_key(host));
+        const auto result =
+            m_sync.store().commit(transaction, to_steady(boot_now() + removal_timeout));
+        log_line{log_class::change, "host_removed"}
+            .with("host", host)
+            .with("lost_ms", now - since)
+            .with("outcome", platform::to_string(result.fault))
+            .write();
+    }
+}
+
+bool peer_sync::is_answering(const std::string& address) {
+    daemon::http_call call;
+    call.address = address;
+    call.method = "GET";
+    call.target = "/peer/ping";
+    call.deadline = to_steady(boot_now() + answer_timeout);
+    const auto result = m_pool.call(call);
+    const auto* const response = std::get_if<daemon::http_response>(&result);
+    return response != nullptr && response->status == 200;
+}
+
+bool peer_sync::is_isolated(instant now) const {
+    return m_lonely_rounds >= isolated_rounds && m_sync.confirmed_age(now) > store_patience;
+}
+
 std::vector<std::string> peer_sync::peer_addresses() const {
     std::vector<std::string> addresses;
     for (const auto& [host, record] : m_sync.records().hosts()) {
@@ -82,6 +149,7 @@
         m_fleet.lease.confirm(current->sent);
         m_fleet.changed.notify_all();
     }
+    m_lonely_rounds = current->vouched > 0 || all_granted ? 0 : m_lonely_rounds + 1;
     if (all_granted != m_granted_before) {
         m_granted_before = all_granted;
         log_line{log_class::change, "lease_from_peers"}
@@ -121,6 +189,7 @@
         return;
     }
     current->granted += answer.is_replacing ? 0 : 1;
+    current->vouched += *answer.confirmed_age < store_patience ? 1 : 0;
     const bool was_current = m_fleet.lease.is_current(boot_now());
     m_fleet.lease.confirm(current->sent - *answer.confirmed_age);
     if (!was_current && m_fleet.lease.is_current(boot_now())) {
--- a/proxy/peer_sync.h
+++ b/proxy/peer_sync.h
@@ -24,10 +24,13 @@
               const settings& options);
 
     void start();
+    void set_seeds(const std::vector<std::string>& seeds);
     void stop() { m_stopped = true; }
 
     /// Answers another daemon; nothing when the question cannot be read.
     std::optional<std::string> answer(std::string_view question, bool is_replacing);
+    /// True while neither the store nor all other hosts vouch for this daemon's records.
+    [[nodiscard]] bool is_isolated(instant now) const;
     /// Endpoints that a host said it cannot reach, when it could not tell the store.
     [[nodiscard]] const std::set<endpoint_id>* unreachable_from(const host_id& host) const;
 
@@ -37,6 +40,7 @@
         instant sent;
         std::size_t open = 0;
         std::size_t granted = 0;
+        std::size_t vouched = 0;  ///< Answers of hosts that the store answers.
     };
     struct told_reachability {
         instant at;
@@ -44,6 +48,9 @@
     };
 
     void run();
+    void run_cleanup();
+    void remove_lost_hosts();
+    bool is_answering(const std::string& address);
     void ask_all();
     void ask(const std::string& address, const std::shared_ptr<round>& current);
     void apply(const peer_answer& answer, const std::shared_ptr<round>& current);
@@ -54,10 +61,13 @@
     store_sync& m_sync;
     daemon::metrics& m_counters;
     host_id m_self;
+    std::string m_own_address;
     std::vector<std::string> m_seeds;
     daemon::http_pool m_pool;
     wait_list m_answered;
+    std::map<host_id, instant> m_lost_since;  ///< Registered hosts without a lease.
     std::map<host_id, told_reachability> m_told;
+    std::uint32_t m_lonely_rounds = 0;
     bool m_granted_before = false;
     bool m_stopped = false;
 };
--- a/proxy/record_mirror.cc
+++ b/proxy/record_mirror.cc
@@ -16,6 +16,8 @@
 constexpr duration lapse_grace = 2500_ms;
 // Deletions are kept for peers that were cut off from the store for a while.
 constexpr std::size_t most_deletions = 1000;
+// A lease may end early by mistake, and is then granted again.
+constexpr duration alive_grace = 1500_ms;
 
 }  // namespace
 
@@ -58,6 +60,8 @@
             record->revision = revision;
             apply_group(*group, *record);
         }
+    } else if (const auto alive = host_of_alive_key(key)) {
+        apply_alive(*alive, value.has_value());
     } else if (is_stop_key(key)) {
         apply_stopped(key, value);
     }
@@ -82,7 +86,7 @@
     std::vector<platform::store_change> gone;
     for (const auto& [key, item] : m_items) {
         const bool is_listed_kind =
-            key.starts_with(platform::endpoint_prefix) || key.starts_with(fleet_prefix);
+            key.starts_with(platform::endpoint_prefix) || key.starts_with(own_prefix);
         if (is_listed_kind && item.value && !seen.contains(key)) {
             gone.push_back({key, item.revision + 1, std::nullopt});
         }
@@ -145,6 +149,27 @@
     m_fleet.changed.notify_all();
 }
 
+void record_mirror::apply_alive(const host_id& host, bool is_alive) {
+    if (is_alive) {
+        m_alive[host].reset();
+    } else {
+        m_alive[host] = boot_now();
+    }
+}
+
+std::set<host_id> record_mirror::live_hosts(instant now) const {
+    std::set<host_id> live;
+    for (const auto& [host, record] : m_hosts) {
+        const auto found = m_alive.find(host);
+        const bool is_alive =
+            found != m_alive.end() && (!found->second || *found->second + alive_grace > now);
+        if (is_alive) {
+            live.insert(host);
+        }
+    }
+    return live;
+}
+
 /// A host that is no longer registered may rely on primaries until its lease has ended.
 void record_mirror::apply_host(const host_id& host, const std::optional<std::string>& value) {
     auto record = value ? decode_host_record(*value) : std::nullopt;
--- a/proxy/record_mirror.h
+++ b/proxy/record_mirror.h
@@ -35,6 +35,8 @@
     [[nodiscard]] revision_number revision() const { return m_revision; }
 
     [[nodiscard]] const std::map<host_id, host_record>& hosts() const { return m_hosts; }
+    /// Registered hosts that renew their lease, or stopped only a moment ago.
+    [[nodiscard]] std::set<host_id> live_hosts(instant now) const;
     /// Revision up to which the host has stopped using replaced primaries of the group.
     [[nodiscard]] revision_number stopped(const group_id& group, const host_id& host) const;
     void note_stopped(const group_id& group, const host_id& host, revision_number revision);
@@ -48,6 +50,7 @@
                   const std::optional<std::string>& value);
     void apply_config(const std::string& value);
     void apply_endpoint(const std::string& key, const std::optional<std::string>& value);
+    void apply_alive(const host_id& host, bool is_alive);
     void apply_host(const host_id& host, const std::optional<std::string>& value);
     void apply_stopped(const std::string& key, const std::optional<std::string>& value);
     void drop_lapsed_endpoints(instant now);
@@ -58,6 +61,7 @@
     daemon::metrics& m_counters;
     std::map<std::string, known_item> m_items;
     std::map<host_id, host_record> m_hosts;
+    std::map<host_id, std::optional<instant>> m_alive;     ///< With the end of the lease.
     std::map<host_id, instant> m_departed;                 ///< Hosts that are no longer registered.
     std::map<endpoint_id, instant> m_lapsed;               ///< Endpoints without an entry.
     std::map<std::string, revision_number> m_stopped_use;  ///< By key.
--- a/proxy/session_daemon.cc
+++ b/proxy/session_daemon.cc
@@ -87,7 +87,7 @@
 }
 
 bool session_daemon::is_ready() const {
-    return !m_stopping && m_fleet.config.current() != nullptr;
+    return !m_stopping && m_fleet.config.current() != nullptr && !m_peers.is_isolated(boot_now());
 }
 
 page session_daemon::readiness_page() {
@@ -115,6 +115,9 @@
 }
 
 page session_daemon::peer_page(std::string_view target, std::string_view body) {
+    if (target == "/peer/ping") {
+        return {200, "text/plain", "running\n"};
+    }
     const bool known = target == "/peer/exchange";
     auto answer = known ? m_peers.answer(body, m_failover.is_replacing()) : std::nullopt;
     if (!answer) {
@@ -130,6 +133,38 @@
     }
 }
 
+void session_daemon::reload(const settings& loaded) {
+    m_home.post([this, loaded] {
+        m_settings.store = loaded.store;
+        m_settings.promotion = loaded.promotion;
+        m_settings.seeds = loaded.seeds;
+        m_settings.stop_grace = loaded.stop_grace;
+        m_settings.log_level = loaded.log_level;
+        m_sync.store().set_address(loaded.store);
+        m_failover.set_promotion_address(loaded.promotion);
+        m_peers.set_seeds(loaded.seeds);
+        set_log_level(loaded.log_level);
+        log_line{log_class::change, "settings_reloaded"}
+            .with("store", loaded.store)
+            .with("needs_restart", needs_restart(loaded) ? "true" : "false")
+            .write();
+    });
+}
+
+void session_daemon::report_bad_settings(const settings_errors& errors) {
+    m_home.post([errors] {
+        for (const std::string& error : errors) {
+            log_line{log_class::change, "settings_refused"}.with("reason", error).write();
+        }
+    });
+}
+
+bool session_daemon::needs_restart(const settings& loaded) const {
+    return loaded.host != m_settings.host || loaded.data_centre != m_settings.data_centre ||
+           loaded.listen != m_settings.listen || loaded.readiness != m_settings.readiness ||
+           loaded.peer != m_settings.peer || loaded.metrics_port != m_settings.metrics_port;
+}
+
 void session_daemon::stop_gracefully() {
     m_home.post([this] {
         if (!m_stopping.exchange(true)) {
--- a/proxy/session_daemon.h
+++ b/proxy/session_daemon.h
@@ -30,6 +30,11 @@
 
     /// Returns the reason when the daemon cannot listen.
     std::optional<std::string> start();
+    /// Takes over what may change without a start: the addresses of the store, of promotions and
+    /// of seeds, the grace period and the log level. Any thread.
+    void reload(const settings& loaded);
+    /// Logs that a changed settings file is not used. Any thread.
+    void report_bad_settings(const settings_errors& errors);
     /// Starts a planned stop. Any thread.
     void stop_gracefully();
     /// Blocks until a planned stop has ended.
@@ -44,6 +49,7 @@
     page readiness_page();
     page metrics_page(std::string_view target);
     page peer_page(std::string_view target, std::string_view body);
+    [[nodiscard]] bool needs_restart(const settings& loaded) const;
     void run_log_flush();
     void run_stop();
     void note_ready();
--- a/proxy/store_sync.cc
+++ b/proxy/store_sync.cc
@@ -14,13 +14,15 @@
 
 using namespace literals;
 
-constexpr duration confirm_interval = 400_ms;
+constexpr duration confirm_interval = 600_ms;
 constexpr duration call_timeout = 1_s;
 constexpr std::uint32_t watch_wait_ms = 10'000;
 constexpr duration watch_slack = 1_s;
 constexpr duration retry_pause = 100_ms;
 // A watch that received nothing for this long, although the store has changed, is not trusted.
 constexpr duration watch_patience = 300_ms;
+constexpr std::uint32_t alive_ttl_ms = 3000;
+constexpr duration alive_interval = 1_s;
 constexpr duration publish_interval = 100_ms;
 // Statements in progress at a primary that is replaced get this time to end.
 constexpr duration statement_patience = 300_ms;
@@ -53,6 +55,7 @@
     m_fleet.home().spawn([this] { run_watch(); });
     m_fleet.home().spawn([this] { run_confirm(); });
     m_fleet.home().spawn([this] { run_publish(); });
+    m_fleet.home().spawn([this] { run_keep_alive(); });
 }
 
 void store_sync::note_store(platform::store_fault fault) {
@@ -113,7 +116,7 @@
     }
     const revision_number from = first.value->revision;
     if (!load_config() || !load_prefix(platform::endpoint_prefix, seen) ||
-        !load_prefix(fleet_prefix, seen)) {
+        !load_prefix(own_prefix, seen)) {
         return false;
     }
     m_mirror.forget_unseen(seen);
@@ -235,6 +238,34 @@
 
 // Registering
 
+/// Shows the other hosts that this one has the store.
+void store_sync::run_keep_alive() {
+    while (!m_stopped) {
+        pause(keep_alive() ? alive_interval : retry_pause);
+    }
+}
+
+bool store_sync::keep_alive() {
+    if (m_lease != platform::no_lease) {
+        const auto fault = m_store.renew_lease(m_lease, call_deadline());
+        if (fault == platform::store_fault::not_found) {
+            m_lease = platform::no_lease;
+        }
+        return fault != platform::store_fault::not_found;
+    }
+    const auto granted = m_store.grant_lease(alive_ttl_ms, call_deadline());
+    if (!granted) {
+        return false;
+    }
+    platform::store_transaction transaction;
+    transaction.updates.push_back({alive_key(m_self), "{}", *granted.value});
+    if (!m_store.commit(transaction, call_deadline())) {
+        return false;
+    }
+    m_lease = *granted.value;
+    return true;
+}
+
 /// Tells the other hosts which endpoints this one cannot reach.
 void store_sync::run_publish() {
     while (!m_stopped) {
--- a/proxy/store_sync.h
+++ b/proxy/store_sync.h
@@ -53,6 +53,8 @@
     bool load_config();
     void on_confirmed(instant sent);
     void check_watch(revision_number store_revision, instant sent);
+    void run_keep_alive();
+    bool keep_alive();
     void run_publish();
     void publish_reachability();
     bool register_host();
@@ -75,6 +77,7 @@
     std::optional<instant> m_first_confirmed;
     std::optional<instant> m_confirmed;
     std::map<host_id, incarnation_number> m_confirmed_hosts;
+    platform::lease_id m_lease = platform::no_lease;
     bool m_registered = false;
     bool m_store_lost = false;
     bool m_stopped = false;
