Let a majority of hosts vouch for leases, and shorten them to 1.5 s

Change: a majority is enough, for at most 10 s without the store; whoever replaces a primary needs a majority that stopped using it and the rest of the lease. Hosts are removed from the registry by a majority, or after the vouching has ended. A failed update of a registration no longer counts as a lost registration.

--- a/proxy/failover_agent.cc
+++ b/proxy/failover_agent.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <boost/fiber/operations.hpp>
 
+#include "jasminelead/fleet_quorum.h"
 #include "proxy/clock.h"
 #include "proxy/event_log.h"
 
@@ -39,7 +40,7 @@
 
 }  // namespace
 
-failover_agent::failover_agent(fleet_state& fleet, store_sync& sync, const peer_sync& peers,
+failover_agent::failover_agent(fleet_state& fleet, store_sync& sync, peer_sync& peers,
                                daemon::metrics& counters, const settings& options)
     : m_fleet{fleet},
       m_sync{sync},
@@ -102,9 +103,11 @@
         return;
     }
     m_running.insert(group);
+    m_peers.set_replacing(true);
     m_fleet.home().spawn([this, group = group, kind] {
         replace(group, kind);
         m_running.erase(group);
+        m_peers.set_replacing(!m_running.empty());
     });
 }
 
@@ -215,16 +218,12 @@
         .write();
 }
 
-bool failover_agent::write_record(replacement_run& current, group_record record,
-                                  const std::vector<host_id>& forgotten) {
+bool failover_agent::write_record(replacement_run& current, group_record record) {
     record.changed_by = m_self;
     platform::store_transaction transaction;
     transaction.conditions.push_back({group_key(current.group), current.record.revision});
     transaction.updates.push_back(
         {group_key(current.group), encode_group_record(record), platform::no_lease});
-    for (const host_id& host : forgotten) {
-        transaction.deletions.push_back(host_key(host));
-    }
     const auto result = m_sync.store().commit(transaction, to_steady(boot_now() + store_timeout));
     if (!result) {
         log_step(current, "write_record", platform::to_string(result.fault));
@@ -263,7 +262,7 @@
     record.phase = leadership_phase::changing;
     record.successor = candidates[*chosen].id;
     current.marked = boot_now();
-    if (!write_record(current, record, {})) {
+    if (!write_record(current, record)) {
         return std::nullopt;
     }
     current.mark_seen = boot_now();
@@ -307,7 +306,10 @@
             return finish(*current, current->record.successor);
         }
     }
-    wait_until_unused(*current);
+    if (!wait_until_unused(*current)) {
+        // Others may rely on the old primary, so it stays.
+        return !current->may_be_promoted && finish(*current, current->old_primary);
+    }
     hand_over_log(*current);
     if (promote(*current) && wait_until_leads(*current)) {
         return finish(*current, current->record.successor);
@@ -332,21 +334,38 @@
            present->second.incarnation != current.hosts.at(host);
 }
 
-/// Returns when no daemon can rely on the old primary any more.
-void failover_agent::wait_until_unused(const replacement_run& current) {
-    const instant lease_end = current.mark_seen + m_fleet.lease.length() + clock_margin;
-    std::size_t missing = 0;
-    do {
-        missing = 0;
-        for (const auto& [host, incarnation] : current.hosts) {
-            missing += has_stopped(current, host) ? 0 : 1;
+/// True when no daemon can rely on the old primary any more.
+bool failover_agent::wait_until_unused(replacement_run& current) {
+    const instant give_up = current.marked + promotion_window;
+    std::optional<instant> majority_at;
+    stop_progress progress;
+    progress.lease_length = m_fleet.lease.length() + clock_margin;
+    for (;;) {
+        const instant now = boot_now();
+        progress.registered = current.hosts.size();
+        progress.stopped = static_cast<std::size_t>(
+            std::count_if(current.hosts.begin(), current.hosts.end(),
+                          [&](const auto& host) { return has_stopped(current, host.first); }));
+        if (!majority_at && is_majority(progress.stopped, progress.registered)) {
+            majority_at = now;
         }
-        if (missing == 0 && current.knows_hosts) {
+        progress.since_majority = majority_at ? now - *majority_at : duration{};
+        if (current.knows_hosts && is_unused(progress)) {
             break;
         }
+        if (now > give_up) {
+            log_step(current, "wait_until_unused", "timeout");
+            return false;
+        }
+        if (!current.knows_hosts) {
+            current.knows_hosts = m_sync.confirm();
+            note_hosts(current);
+        }
         m_fleet.changed.wait(to_steady(boot_now() + unused_poll));
-    } while (boot_now() < lease_end);
-    log_step(current, "wait_until_unused", missing == 0 ? "acknowledged" : "lease_ended");
+    }
+    const bool by_all = progress.stopped == progress.registered;
+    log_step(current, "wait_until_unused", by_all ? "acknowledged" : "lease_ended");
+    return true;
 }
 
 /// Lets the successor receive what the old primary has, when that one can be asked.
@@ -417,14 +436,7 @@
     record.primary = primary;
     record.successor = endpoint_id{};
     record.term = current.term;
-    // Hosts that did not answer register again when they are alive.
-    std::vector<host_id> forgotten;
-    for (const auto& [host, incarnation] : current.hosts) {
-        if (!has_stopped(current, host)) {
-            forgotten.push_back(host);
-        }
-    }
-    const bool written = write_record(current, record, forgotten);
+    const bool written = write_record(current, record);
     log_step(current, "finish", written ? "written" : "not_written");
     return written;
 }
--- a/proxy/failover_agent.h
+++ b/proxy/failover_agent.h
@@ -19,14 +19,12 @@
 
 class failover_agent {
 public:
-    failover_agent(fleet_state& fleet, store_sync& sync, const peer_sync& peers,
+    failover_agent(fleet_state& fleet, store_sync& sync, peer_sync& peers,
                    daemon::metrics& counters, const settings& options);
 
     void start();
     void set_promotion_address(const std::string& address) { m_promotion_address = address; }
     void stop() { m_stopped = true; }
-    /// True while this daemon replaces a primary, or has a mark whose outcome it does not know.
-    [[nodiscard]] bool is_replacing() const { return !m_running.empty(); }
 
 private:
     /// A replacement that this daemon carries out.
@@ -61,20 +59,19 @@
     std::optional<platform::endpoint_status> ask_status(const endpoint_id& endpoint) const;
     std::optional<platform::endpoint_status> command(const endpoint_id& endpoint,
                                                      std::string_view text) const;
-    void wait_until_unused(const replacement_run& current);
+    bool wait_until_unused(replacement_run& current);
     [[nodiscard]] bool has_stopped(const replacement_run& current, const host_id& host) const;
     void hand_over_log(replacement_run& current);
     bool promote(replacement_run& current);
     bool wait_until_leads(replacement_run& current);
     bool finish(replacement_run& current, const endpoint_id& primary);
-    bool write_record(replacement_run& current, group_record record,
-                      const std::vector<host_id>& forgotten);
+    bool write_record(replacement_run& current, group_record record);
     void log_step(const replacement_run& current, std::string_view step,
                   std::string_view outcome) const;
 
     fleet_state& m_fleet;
     store_sync& m_sync;
-    const peer_sync& m_peers;
+    peer_sync& m_peers;
     daemon::metrics& m_counters;
     host_id m_self;
     std::string m_promotion_address;
--- a/proxy/fleet_state.cc
+++ b/proxy/fleet_state.cc
@@ -10,9 +10,9 @@
 
 using namespace literals;
 
-// Covers a store that is down for a second. A daemon that cannot be asked delays a failover by
-// this time.
-constexpr duration primary_lease_length = 2_s;
+// Covers one lost answer of the store and a round of questions to the peers. A daemon that cannot
+// be asked delays a failover by this time.
+constexpr duration primary_lease_length = 1500_ms;
 // A leaving primary serves until it is replaced, but not up to the moment when it ends.
 constexpr duration longest_leaving_use = 5_s;
 
--- a/proxy/peer_sync.cc
+++ b/proxy/peer_sync.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/fiber/operations.hpp>
 
+#include "jasminelead/fleet_quorum.h"
 #include "proxy/clock.h"
 #include "proxy/event_log.h"
 
@@ -12,7 +13,7 @@
 using namespace literals;
 
 // The store has missed more than one confirmation.
-constexpr duration store_patience = 900_ms;
+constexpr duration store_patience = 800_ms;
 constexpr duration round_interval = 200_ms;
 constexpr duration answer_timeout = 180_ms;
 constexpr duration told_lifetime = 2_s;
@@ -55,7 +56,7 @@
         if (m_sync.confirmed_age(begun) > store_patience) {
             ask_all();
         } else {
-            m_granted_before = false;
+            m_vouched_before = false;
             m_lonely_rounds = 0;
         }
         boost::this_fiber::sleep_until(to_steady(begun + round_interval));
@@ -85,7 +86,9 @@
             continue;
         }
         const instant since = m_lost_since.emplace(host, now).first->second;
-        if (since + lost_patience > now || is_answering(record.peer_address)) {
+        const bool removable = may_remove_host(live.size(), hosts.size(), now - since,
+                                               lost_patience, m_fleet.lease.length());
+        if (!removable || is_answering(record.peer_address)) {
             continue;
         }
         platform::store_transaction transaction;
@@ -143,17 +146,18 @@
     const steady_time deadline = to_steady(current->sent + answer_timeout);
     while (current->open > 0 && m_answered.wait(deadline)) {
     }
-    // With the word of every host that could replace a primary, none was replaced before.
-    const bool all_granted = knows_fleet && current->granted == addresses.size();
-    if (all_granted) {
+    const vouching_round words{addresses.size() + 1, current->vouched_by + 1,
+                               m_sync.confirmed_age(boot_now())};
+    const bool is_vouched_for = knows_fleet && !m_is_replacing && confirms_leases(words);
+    if (is_vouched_for) {
         m_fleet.lease.confirm(current->sent);
         m_fleet.changed.notify_all();
     }
-    m_lonely_rounds = current->vouched > 0 || all_granted ? 0 : m_lonely_rounds + 1;
-    if (all_granted != m_granted_before) {
-        m_granted_before = all_granted;
+    m_lonely_rounds = current->with_store > 0 || is_vouched_for ? 0 : m_lonely_rounds + 1;
+    if (is_vouched_for != m_vouched_before) {
+        m_vouched_before = is_vouched_for;
         log_line{log_class::change, "lease_from_peers"}
-            .with("granted", std::uint64_t{current->granted})
+            .with("vouched", std::uint64_t{current->vouched_by})
             .with("asked", std::uint64_t{addresses.size()})
             .with("store_age_ms", m_sync.confirmed_age(boot_now()))
             .with("lease_age_ms", m_fleet.lease.age(boot_now()))
@@ -188,8 +192,8 @@
     if (!answer.knows_sender || !answer.confirmed_age) {
         return;
     }
-    current->granted += answer.is_replacing ? 0 : 1;
-    current->vouched += *answer.confirmed_age < store_patience ? 1 : 0;
+    current->vouched_by += answer.is_replacing ? 0 : 1;
+    current->with_store += *answer.confirmed_age < store_patience ? 1 : 0;
     const bool was_current = m_fleet.lease.is_current(boot_now());
     m_fleet.lease.confirm(current->sent - *answer.confirmed_age);
     if (!was_current && m_fleet.lease.is_current(boot_now())) {
@@ -197,7 +201,7 @@
     }
 }
 
-std::optional<std::string> peer_sync::answer(std::string_view text, bool is_replacing) {
+std::optional<std::string> peer_sync::answer(std::string_view text) {
     const auto question = decode_question(text);
     if (!question) {
         return std::nullopt;
@@ -208,7 +212,7 @@
     }
     peer_answer reply;
     reply.knows_sender = m_sync.has_confirmed(question->host, question->incarnation);
-    reply.is_replacing = is_replacing;
+    reply.is_replacing = m_is_replacing;
     const duration age = m_sync.confirmed_age(boot_now());
     if (age < duration::max()) {
         reply.confirmed_age = age;
--- a/proxy/peer_sync.h
+++ b/proxy/peer_sync.h
@@ -24,11 +24,13 @@
               const settings& options);
 
     void start();
+    /// While this daemon replaces a primary, the others' words do not confirm its own leases.
+    void set_replacing(bool is_replacing) { m_is_replacing = is_replacing; }
     void set_seeds(const std::vector<std::string>& seeds);
     void stop() { m_stopped = true; }
 
     /// Answers another daemon; nothing when the question cannot be read.
-    std::optional<std::string> answer(std::string_view question, bool is_replacing);
+    std::optional<std::string> answer(std::string_view question);
     /// True while neither the store nor all other hosts vouch for this daemon's records.
     [[nodiscard]] bool is_isolated(instant now) const;
     /// Endpoints that a host said it cannot reach, when it could not tell the store.
@@ -39,8 +41,8 @@
     struct round {
         instant sent;
         std::size_t open = 0;
-        std::size_t granted = 0;
-        std::size_t vouched = 0;  ///< Answers of hosts that the store answers.
+        std::size_t vouched_by = 0;  ///< Hosts that replace no primary.
+        std::size_t with_store = 0;  ///< Hosts that the store answers.
     };
     struct told_reachability {
         instant at;
@@ -68,7 +70,8 @@
     std::map<host_id, instant> m_lost_since;  ///< Registered hosts without a lease.
     std::map<host_id, told_reachability> m_told;
     std::uint32_t m_lonely_rounds = 0;
-    bool m_granted_before = false;
+    bool m_is_replacing = false;
+    bool m_vouched_before = false;
     bool m_stopped = false;
 };
 
--- a/proxy/record_mirror.cc
+++ b/proxy/record_mirror.cc
@@ -18,6 +18,7 @@
 constexpr std::size_t most_deletions = 1000;
 // A lease may end early by mistake, and is then granted again.
 constexpr duration alive_grace = 1500_ms;
+constexpr duration written_grace = 3_s;
 
 }  // namespace
 
@@ -163,7 +164,8 @@
         const auto found = m_alive.find(host);
         const bool is_alive =
             found != m_alive.end() && (!found->second || *found->second + alive_grace > now);
-        if (is_alive) {
+        const bool wrote_lately = m_host_written.at(host) + written_grace > now;
+        if (is_alive || wrote_lately) {
             live.insert(host);
         }
     }
@@ -175,6 +177,7 @@
     auto record = value ? decode_host_record(*value) : std::nullopt;
     if (record) {
         m_hosts[host] = std::move(*record);
+        m_host_written[host] = boot_now();
         m_departed.erase(host);
     } else {
         m_departed.emplace(host, boot_now());
@@ -223,6 +226,7 @@
         const bool is_over = departed.second + m_fleet.lease.length() <= now;
         if (is_over) {
             m_hosts.erase(departed.first);
+            m_host_written.erase(departed.first);
         }
         return is_over;
     });
--- a/proxy/record_mirror.h
+++ b/proxy/record_mirror.h
@@ -61,6 +61,7 @@
     daemon::metrics& m_counters;
     std::map<std::string, known_item> m_items;
     std::map<host_id, host_record> m_hosts;
+    std::map<host_id, instant> m_host_written;             ///< When its record last changed.
     std::map<host_id, std::optional<instant>> m_alive;     ///< With the end of the lease.
     std::map<host_id, instant> m_departed;                 ///< Hosts that are no longer registered.
     std::map<endpoint_id, instant> m_lapsed;               ///< Endpoints without an entry.
--- a/proxy/session_daemon.cc
+++ b/proxy/session_daemon.cc
@@ -119,7 +119,7 @@
         return {200, "text/plain", "running\n"};
     }
     const bool known = target == "/peer/exchange";
-    auto answer = known ? m_peers.answer(body, m_failover.is_replacing()) : std::nullopt;
+    auto answer = known ? m_peers.answer(body) : std::nullopt;
     if (!answer) {
         return {known ? 400U : 404U, "text/plain", "not a question of a peer\n"};
     }
--- a/proxy/store_sync.cc
+++ b/proxy/store_sync.cc
@@ -15,6 +15,7 @@
 using namespace literals;
 
 constexpr duration confirm_interval = 600_ms;
+constexpr duration confirm_timeout = 600_ms;
 constexpr duration call_timeout = 1_s;
 constexpr std::uint32_t watch_wait_ms = 10'000;
 constexpr duration watch_slack = 1_s;
@@ -177,7 +178,7 @@
 
 bool store_sync::confirm() {
     const instant sent = boot_now();
-    const auto listing = m_store.list(fleet_prefix, "", call_deadline());
+    const auto listing = m_store.list(fleet_prefix, "", to_steady(sent + confirm_timeout));
     note_store(listing.fault);
     if (!listing || !listing.value->is_complete) {
         return false;
@@ -251,7 +252,7 @@
         if (fault == platform::store_fault::not_found) {
             m_lease = platform::no_lease;
         }
-        return fault != platform::store_fault::not_found;
+        return fault == platform::store_fault::none;
     }
     const auto granted = m_store.grant_lease(alive_ttl_ms, call_deadline());
     if (!granted) {
@@ -299,15 +300,15 @@
         {host_key(m_self), encode_host_record(m_own_record), platform::no_lease});
     const auto result = m_store.commit(transaction, call_deadline());
     note_store(result.fault);
-    m_registered = result.value.has_value();
-    if (m_registered) {
+    if (result) {
+        m_registered = true;
         log_line{log_class::change, "host_registered"}
             .with("incarnation", m_own_record.incarnation)
             .with("unreachable_endpoints", m_own_record.unreachable.size())
             .with("revision", *result.value)
             .write();
     }
-    return m_registered;
+    return result.value.has_value();
 }
 
 void store_sync::create_missing_records() {
--- a/src/primary_replacement.cc
+++ b/src/primary_replacement.cc
@@ -2,20 +2,15 @@
 
 #include <tuple>
 
-namespace jasminelead {
-namespace {
-
-bool is_most(std::size_t part, std::size_t whole) {
-    return part * 2 > whole;
-}
+#include "jasminelead/fleet_quorum.h"
 
-}  // namespace
+namespace jasminelead {
 
 /// A minority that is cut off must not take the primary from the majority that reaches it, and two
 /// halves must not take it from each other in turns.
 replacement decide_replacement(const primary_health& health) {
     if (!health.is_listed || health.sees_itself_as_replica ||
-        is_most(health.hosts_without_primary, health.hosts)) {
+        is_majority(health.hosts_without_primary, health.hosts)) {
         return replacement::urgent;
     }
     return health.is_leaving ? replacement::planned : replacement::none;
@@ -24,7 +19,7 @@
 std::optional<std::size_t> choose_successor(std::span<const successor_candidate> candidates,
                                             std::size_t hosts) {
     const auto rank = [hosts](const successor_candidate& candidate) {
-        return std::tuple{!is_most(candidate.hosts_without, hosts), candidate.received,
+        return std::tuple{!is_majority(candidate.hosts_without, hosts), candidate.received,
                           candidate.is_near};
     };
     std::optional<std::size_t> best;
