Replace primaries with half of the hosts and refuse at known outages

Statements for a primary that could not come back in time waited until their timeout.

Change: hosts that are no majority cannot vouch for each other, so half of the hosts are enough to replace a primary. Leases of hosts last 1.5 s. primary_outage decides between waiting and refusing. A daemon that is cut off refuses and ends its idle sessions.

--- a/include/jasminelead/fleet_quorum.h
+++ b/include/jasminelead/fleet_quorum.h
@@ -7,8 +7,9 @@
 /// How many hosts have to agree before one may rely on a primary or replace it.
 ///
 /// While the store is away, a host relies on a primary as long as a majority of the registered
-/// hosts vouches that it replaces none. A host that replaces a primary therefore needs the word of
-/// a majority too: any two majorities share a host, which tells the one of the other.
+/// hosts vouches that it replaces none. A host that replaces a primary therefore waits until so
+/// many hosts have stopped using it that the others are no majority, and then until their leases
+/// end. That two hosts do not replace a primary at once is left to the conditions of the store.
 namespace jasminelead {
 
 /// Longest time without the store for which hosts may vouch for each other. A registration that is
@@ -20,6 +21,11 @@
     return part * 2 > whole;
 }
 
+/// True when the hosts other than `part` are no majority, so that they cannot vouch for leases.
+constexpr bool blocks_majority(std::size_t part, std::size_t whole) {
+    return part * 2 >= whole;
+}
+
 /// The hosts' words that a host has collected in one round, its own included.
 struct vouching_round {
     std::size_t registered = 0;
@@ -34,7 +40,7 @@
 struct stop_progress {
     std::size_t registered = 0;
     std::size_t stopped = 0;  ///< Hosts that no longer use the primary, itself included.
-    duration since_majority;  ///< Since a majority has stopped; zero before.
+    duration since_blocked;   ///< Since the others are no majority; zero before.
     duration lease_length;
 };
 
--- a/proxy/failover_agent.cc
+++ b/proxy/failover_agent.cc
@@ -337,7 +337,7 @@
 /// True when no daemon can rely on the old primary any more.
 bool failover_agent::wait_until_unused(replacement_run& current) {
     const instant give_up = current.marked + promotion_window;
-    std::optional<instant> majority_at;
+    std::optional<instant> blocked_at;
     stop_progress progress;
     progress.lease_length = m_fleet.lease.length() + clock_margin;
     for (;;) {
@@ -346,10 +346,10 @@
         progress.stopped = static_cast<std::size_t>(
             std::count_if(current.hosts.begin(), current.hosts.end(),
                           [&](const auto& host) { return has_stopped(current, host.first); }));
-        if (!majority_at && is_majority(progress.stopped, progress.registered)) {
-            majority_at = now;
+        if (!blocked_at && blocks_majority(progress.stopped, progress.registered)) {
+            blocked_at = now;
         }
-        progress.since_majority = majority_at ? now - *majority_at : duration{};
+        progress.since_blocked = blocked_at ? now - *blocked_at : duration{};
         if (current.knows_hosts && is_unused(progress)) {
             break;
         }
--- a/proxy/record_mirror.cc
+++ b/proxy/record_mirror.cc
@@ -17,8 +17,8 @@
 // Deletions are kept for peers that were cut off from the store for a while.
 constexpr std::size_t most_deletions = 1000;
 // A lease may end early by mistake, and is then granted again.
-constexpr duration alive_grace = 1500_ms;
-constexpr duration written_grace = 3_s;
+constexpr duration alive_grace = 300_ms;
+constexpr duration written_grace = 1500_ms;
 
 }  // namespace
 
--- a/proxy/session_daemon.cc
+++ b/proxy/session_daemon.cc
@@ -13,6 +13,7 @@
 using namespace literals;
 
 constexpr duration log_flush_interval = 100_ms;
+constexpr duration isolation_poll = 100_ms;
 constexpr duration stop_poll = 20_ms;
 // The balancer needs two missed probes, a second apart, to take a daemon out.
 constexpr duration balancer_delay = 2200_ms;
@@ -60,6 +61,7 @@
         m_failover.start();
         accept_next();
         m_home.spawn([this] { run_log_flush(); });
+        m_home.spawn([this] { run_isolation_check(); });
     });
     return std::nullopt;
 }
@@ -126,6 +128,21 @@
     return {200, "application/json", std::move(*answer)};
 }
 
+/// Sessions of a daemon that is cut off end, so that their callers reach another one.
+void session_daemon::run_isolation_check() {
+    while (!m_stopping) {
+        const bool is_isolated = m_peers.is_isolated(boot_now());
+        m_router.set_isolated(is_isolated);
+        if (is_isolated) {
+            const std::vector<std::shared_ptr<session>> open{m_sessions.begin(), m_sessions.end()};
+            for (const auto& item : open) {
+                item->close_when_idle();
+            }
+        }
+        boost::this_fiber::sleep_until(to_steady(boot_now() + isolation_poll));
+    }
+}
+
 void session_daemon::run_log_flush() {
     while (!m_stopped) {
         flush_log();
--- a/proxy/session_daemon.h
+++ b/proxy/session_daemon.h
@@ -50,6 +50,7 @@
     page metrics_page(std::string_view target);
     page peer_page(std::string_view target, std::string_view body);
     [[nodiscard]] bool needs_restart(const settings& loaded) const;
+    void run_isolation_check();
     void run_log_flush();
     void run_stop();
     void note_ready();
--- a/proxy/statement_router.cc
+++ b/proxy/statement_router.cc
@@ -58,7 +58,7 @@
 };
 
 statement_router::statement_router(fleet_state& fleet, daemon::metrics& counters)
-    : m_fleet{fleet}, m_counters{counters} {}
+    : m_fleet{fleet}, m_counters{counters}, m_outages{fleet.lease.length()} {}
 
 statement_outcome statement_router::run(session_data& session, const database_route& route,
                                         const forwarded_statement& statement) {
@@ -111,8 +111,8 @@
         m_counters.count("refusals", "overloaded");
         return make_fault(statement_fault::busy, "all endpoints are at their limit; not run");
     }
-    if (current.is_over()) {
-        m_counters.count("refusals", "no_endpoint");
+    if (current.is_over() || m_is_isolated) {
+        m_counters.count("refusals", m_is_isolated ? "isolated" : "no_endpoint");
         return make_fault(statement_fault::busy, "no endpoint can answer now; not run");
     }
     m_fleet.changed.wait(to_steady(std::min(boot_now() + retry_pause, current.give_up)));
@@ -213,9 +213,16 @@
         const auto permit = m_fleet.lease.permit(group, boot_now());
         const auto pool = permit ? m_fleet.pool(permit->primary) : nullptr;
         if (!pool || pool->is_retired() || !pool->health().is_reachable()) {
+            const auto choice = m_outages.on_unavailable(group, m_fleet.lease.record(group),
+                                                         boot_now(), current.give_up);
+            if (m_is_isolated || choice == outage_choice::refuse) {
+                m_counters.count("refusals", m_is_isolated ? "isolated" : "primary_outage");
+                return make_fault(statement_fault::busy, "the primary is away; not run");
+            }
             m_fleet.changed.wait(to_steady(std::min(boot_now() + change_poll, current.give_up)));
             continue;
         }
+        m_outages.on_available(group);
         auto acquired = pool->acquire(current.work());
         if (const auto* const why = std::get_if<reason>(&acquired)) {
             if (*why == reason::overloaded || *why == reason::deadline) {
--- a/proxy/statement_router.h
+++ b/proxy/statement_router.h
@@ -7,6 +7,7 @@
 #include <variant>
 
 #include "daemon/metrics.h"
+#include "jasminelead/primary_outage.h"
 #include "jasminelead/read_selector.h"
 #include "proxy/fleet_state.h"
 #include "proxy/session_data.h"
@@ -28,6 +29,9 @@
 public:
     statement_router(fleet_state& fleet, daemon::metrics& counters);
 
+    /// While the daemon is cut off, statements that need a primary are refused at once.
+    void set_isolated(bool is_isolated) { m_is_isolated = is_isolated; }
+
     /// One statement outside a transaction.
     statement_outcome run(session_data& session, const database_route& route,
                           const forwarded_statement& statement);
@@ -78,6 +82,8 @@
 
     fleet_state& m_fleet;
     daemon::metrics& m_counters;
+    primary_outages m_outages;
+    bool m_is_isolated = false;
 };
 
 }  // namespace jasminelead::proxy
--- a/proxy/store_sync.cc
+++ b/proxy/store_sync.cc
@@ -22,8 +22,9 @@
 constexpr duration retry_pause = 100_ms;
 // A watch that received nothing for this long, although the store has changed, is not trusted.
 constexpr duration watch_patience = 300_ms;
-constexpr std::uint32_t alive_ttl_ms = 3000;
-constexpr duration alive_interval = 1_s;
+// A host that loses the store counts as lost after this time.
+constexpr std::uint32_t alive_ttl_ms = 1500;
+constexpr duration alive_interval = 500_ms;
 constexpr duration publish_interval = 100_ms;
 // Statements in progress at a primary that is replaced get this time to end.
 constexpr duration statement_patience = 300_ms;
