Share connections between daemons, and let all hosts vouch for leases

Change: connection_share keeps no more than the daemon's share idle. Every registered host vouches, so that a host that replaces a primary ends the leases of all by itself; hosts that are new to the fleet wait until the others know them. The condition on the own registration guards the mark.

Ruled out: majorities with a history of the registry, which a daemon that has just started does not know.

--- a/include/jasminelead/connection_pool.h
+++ b/include/jasminelead/connection_pool.h
@@ -37,6 +37,8 @@
     /// Removes and returns the idle connections above the limit, and those above the target that
     /// were idle for 30 s.
     std::vector<connection_id> take_surplus(std::uint32_t limit, instant now);
+    /// Removes and returns the connections above `keep` that were idle for `idle_for` or longer.
+    std::vector<connection_id> take_idle_above(std::uint32_t keep, duration idle_for, instant now);
     /// Removes and returns all connections.
     std::vector<connection_id> take_all();
 
--- a/proxy/endpoint_pool.cc
+++ b/proxy/endpoint_pool.cc
@@ -16,8 +16,6 @@
 constexpr duration open_timeout = 350_ms;
 // Several statements of a usual length.
 constexpr duration longest_silence = 200_ms;
-// After a refusal for the number of connections, one more is tried this often.
-constexpr duration cap_recovery = 500_ms;
 // Numbers of connections begin at 1.
 constexpr connection_id no_connection = 0;
 // All connections of a pool are one account; lanes share by the queue.
@@ -138,15 +136,11 @@
     if (m_retired || !m_health.is_reachable()) {
         return;
     }
-    if (m_connection_cap < m_max_connections && m_cap_lowered + cap_recovery <= now) {
-        ++m_connection_cap;
-        m_cap_lowered = now;
-    }
     const std::uint32_t demand = std::min(unbound_waiting(), window());
     if (demand == 0) {
         return;
     }
-    const std::uint32_t missing = m_connections.missing(demand, m_connection_cap, now);
+    const std::uint32_t missing = m_connections.missing(demand, m_share.allowed(now), now);
     for (std::uint32_t i = 0; i < missing; ++i) {
         open_one();
     }
@@ -172,7 +166,9 @@
         on_open_failed(id, full ? reason::connection_limit : reason::endpoint_unavailable);
         return;
     }
-    on_open_failed(id, reason::endpoint_unavailable);
+    // An endpoint that is over its limit may close before its refusal is received.
+    const bool was_closed = std::get<link_fault>(result) == link_fault::lost;
+    on_open_failed(id, was_closed ? reason::connection_limit : reason::endpoint_unavailable);
 }
 
 void endpoint_pool::on_opened(connection_id id) {
@@ -185,12 +181,8 @@
     m_links.erase(id);
     m_connections.remove(id, now);
     if (why == reason::connection_limit) {
-        m_connection_cap = std::max<std::uint32_t>(m_connections.size(), 1);
-        m_cap_lowered = now;
-        // Without any connection there is nothing to wait for.
-        if (m_connections.size() == 0) {
-            fail_unbound(why);
-        }
+        m_share.on_refused(m_connections.size(), now);
+        schedule_retry(m_share.retry_at());
         return;
     }
     const bool was_reachable = m_health.is_reachable();
@@ -204,7 +196,7 @@
         m_changed.notify_all();
     }
     fail_unbound(why);
-    schedule_retry();
+    schedule_retry(m_health.retry_at());
 }
 
 void endpoint_pool::fail_unbound(reason why) {
@@ -222,15 +214,17 @@
     }
 }
 
-void endpoint_pool::schedule_retry() {
+void endpoint_pool::schedule_retry(instant at) {
     if (m_retry_scheduled || m_retired) {
         return;
     }
     m_retry_scheduled = true;
-    m_home.spawn([self = shared_from_this()] {
-        boost::this_fiber::sleep_until(to_steady(self->m_health.retry_at()));
+    m_home.spawn([self = shared_from_this(), at] {
+        boost::this_fiber::sleep_until(to_steady(at));
         self->m_retry_scheduled = false;
-        if (!self->m_retired && self->m_connections.opening() == 0) {
+        if (self->m_health.is_reachable()) {
+            self->pump();
+        } else if (!self->m_retired && self->m_connections.opening() == 0) {
             self->open_one();
         }
     });
@@ -244,7 +238,7 @@
 
 void endpoint_pool::give_back(const held_connection& connection, bool clean) {
     const instant now = boot_now();
-    if (clean && !m_retired && m_connections.size() <= m_connection_cap) {
+    if (clean && !m_retired) {
         m_connections.put_back(connection.id, now);
     } else {
         connection.link->close();
@@ -286,12 +280,10 @@
     }
 }
 
-void endpoint_pool::update(const listed_endpoint& endpoint, std::uint32_t max_connections) {
+void endpoint_pool::update(const listed_endpoint& endpoint, std::uint32_t max_connections,
+                           std::uint32_t hosts) {
     m_endpoint = endpoint;
-    if (m_max_connections != max_connections) {
-        m_max_connections = max_connections;
-        m_connection_cap = max_connections;
-    }
+    m_share.set_limit(max_connections, hosts);
 }
 
 void endpoint_pool::retire() {
@@ -309,7 +301,9 @@
 }
 
 void endpoint_pool::trim() {
-    for (const connection_id id : m_connections.take_surplus(m_connection_cap, boot_now())) {
+    const auto surplus = m_connections.take_idle_above(
+        m_share.share(), connection_share::idle_above_share, boot_now());
+    for (const connection_id id : surplus) {
         m_links.at(id)->close();
         m_links.erase(id);
     }
--- a/proxy/endpoint_pool.h
+++ b/proxy/endpoint_pool.h
@@ -10,6 +10,7 @@
 #include "daemon/worker.h"
 #include "jasminelead/admission.h"
 #include "jasminelead/connection_pool.h"
+#include "jasminelead/connection_share.h"
 #include "jasminelead/endpoint_health.h"
 #include "jasminelead/listed_endpoint.h"
 #include "jasminelead/reason.h"
@@ -66,7 +67,9 @@
     /// An answer did not come; a new connection shows whether the endpoint is there.
     void on_answer_missing();
 
-    void update(const listed_endpoint& endpoint, std::uint32_t max_connections);
+    /// `hosts` share the endpoint's connections.
+    void update(const listed_endpoint& endpoint, std::uint32_t max_connections,
+                std::uint32_t hosts);
     /// Takes no new work, and closes its connections as they become idle.
     void retire();
     /// Closes surplus idle connections.
@@ -104,14 +107,13 @@
     void on_opened(connection_id id);
     void on_open_failed(connection_id id, reason why);
     void fail_unbound(reason why);
-    void schedule_retry();
+    void schedule_retry(instant at);
     [[nodiscard]] std::uint32_t unbound_waiting() const;
 
     daemon::worker& m_home;
     wait_list& m_changed;
     listed_endpoint m_endpoint;
-    std::uint32_t m_max_connections = 1;
-    std::uint32_t m_connection_cap = 1;  ///< Lowered when the endpoint accepts no more.
+    connection_share m_share;
     admission m_queue;
     connection_pool m_connections;
     std::map<connection_id, std::shared_ptr<endpoint_connection>> m_links;
@@ -122,7 +124,6 @@
     std::uint64_t m_next_number = 1;
     bool m_retired = false;
     bool m_retry_scheduled = false;
-    instant m_cap_lowered;
     instant m_quiet_since;  ///< Last answer, or begin of the oldest work without one.
 };
 
--- a/proxy/failover_agent.cc
+++ b/proxy/failover_agent.cc
@@ -65,7 +65,7 @@
         return;
     }
     // Without a recent answer of the store the views of the other hosts are old.
-    if (!m_fleet.lease.is_current(boot_now()) || !m_sync.knows_hosts(boot_now())) {
+    if (!m_fleet.lease.is_current(boot_now()) || !m_sync.may_replace(boot_now())) {
         m_due_since.clear();
         return;
     }
@@ -222,6 +222,8 @@
     record.changed_by = m_self;
     platform::store_transaction transaction;
     transaction.conditions.push_back({group_key(current.group), current.record.revision});
+    // A host that was removed from the registry is not asked by the others any more.
+    transaction.conditions.push_back({host_key(m_self), m_sync.records().host_revision(m_self)});
     transaction.updates.push_back(
         {group_key(current.group), encode_group_record(record), platform::no_lease});
     const auto result = m_sync.store().commit(transaction, to_steady(boot_now() + store_timeout));
@@ -306,10 +308,7 @@
             return finish(*current, current->record.successor);
         }
     }
-    if (!wait_until_unused(*current)) {
-        // Others may rely on the old primary, so it stays.
-        return !current->may_be_promoted && finish(*current, current->old_primary);
-    }
+    wait_until_unused(*current);
     hand_over_log(*current);
     if (promote(*current) && wait_until_leads(*current)) {
         return finish(*current, current->record.successor);
@@ -334,38 +333,25 @@
            present->second.incarnation != current.hosts.at(host);
 }
 
-/// True when no daemon can rely on the old primary any more.
-bool failover_agent::wait_until_unused(replacement_run& current) {
-    const instant give_up = current.marked + promotion_window;
-    std::optional<instant> blocked_at;
+/// Returns when no daemon can rely on the old primary any more.
+void failover_agent::wait_until_unused(replacement_run& current) {
     stop_progress progress;
     progress.lease_length = m_fleet.lease.length() + clock_margin;
-    for (;;) {
-        const instant now = boot_now();
-        progress.registered = current.hosts.size();
-        progress.stopped = static_cast<std::size_t>(
-            std::count_if(current.hosts.begin(), current.hosts.end(),
-                          [&](const auto& host) { return has_stopped(current, host.first); }));
-        if (!blocked_at && blocks_majority(progress.stopped, progress.registered)) {
-            blocked_at = now;
-        }
-        progress.since_blocked = blocked_at ? now - *blocked_at : duration{};
-        if (current.knows_hosts && is_unused(progress)) {
-            break;
-        }
-        if (now > give_up) {
-            log_step(current, "wait_until_unused", "timeout");
-            return false;
-        }
+    do {
+        m_fleet.changed.wait(to_steady(boot_now() + unused_poll));
         if (!current.knows_hosts) {
             current.knows_hosts = m_sync.confirm();
             note_hosts(current);
         }
-        m_fleet.changed.wait(to_steady(boot_now() + unused_poll));
-    }
+        // Until the hosts are known, none counts as stopped.
+        progress.registered = current.hosts.size() + (current.knows_hosts ? 0 : 1);
+        progress.stopped = static_cast<std::size_t>(
+            std::count_if(current.hosts.begin(), current.hosts.end(),
+                          [&](const auto& host) { return has_stopped(current, host.first); }));
+        progress.since_mark = boot_now() - current.mark_seen;
+    } while (!is_unused(progress));
     const bool by_all = progress.stopped == progress.registered;
     log_step(current, "wait_until_unused", by_all ? "acknowledged" : "lease_ended");
-    return true;
 }
 
 /// Lets the successor receive what the old primary has, when that one can be asked.
--- a/proxy/failover_agent.h
+++ b/proxy/failover_agent.h
@@ -59,7 +59,7 @@
     std::optional<platform::endpoint_status> ask_status(const endpoint_id& endpoint) const;
     std::optional<platform::endpoint_status> command(const endpoint_id& endpoint,
                                                      std::string_view text) const;
-    bool wait_until_unused(replacement_run& current);
+    void wait_until_unused(replacement_run& current);
     [[nodiscard]] bool has_stopped(const replacement_run& current, const host_id& host) const;
     void hand_over_log(replacement_run& current);
     bool promote(replacement_run& current);
--- a/proxy/fleet_state.cc
+++ b/proxy/fleet_state.cc
@@ -41,8 +41,6 @@
 
 void fleet_state::put_endpoint(const listed_endpoint& endpoint) {
     const endpoint_id& id = endpoint.entry.id;
-    const std::uint32_t limit =
-        config.current() ? config.current()->max_connections(endpoint.entry.group) : 1;
     auto& pool = m_pools[id];
     if (pool && pool->endpoint() == endpoint) {
         return;
@@ -57,7 +55,7 @@
     if (!pool) {
         pool = std::make_shared<endpoint_pool>(m_home, changed, endpoint);
     }
-    pool->update(endpoint, limit);
+    update_pool(*pool, endpoint);
     if (endpoint.entry.state == member_state::leaving) {
         m_leaving_since.emplace(id, daemon::boot_now());
     } else {
@@ -97,10 +95,23 @@
     }
 }
 
+void fleet_state::update_pool(endpoint_pool& pool, const listed_endpoint& endpoint) const {
+    const listed_endpoint present = endpoint;
+    const std::uint32_t limit =
+        config.current() ? config.current()->max_connections(present.entry.group) : 1;
+    pool.update(present, limit, m_hosts);
+}
+
+void fleet_state::set_hosts(std::size_t hosts) {
+    m_hosts = static_cast<std::uint32_t>(hosts);
+    for (const auto& [id, pool] : m_pools) {
+        update_pool(*pool, pool->endpoint());
+    }
+}
+
 void fleet_state::on_config() {
     for (const auto& [id, pool] : m_pools) {
-        const listed_endpoint endpoint = pool->endpoint();
-        pool->update(endpoint, config.current()->max_connections(endpoint.entry.group));
+        update_pool(*pool, pool->endpoint());
     }
     changed.notify_all();
 }
--- a/proxy/fleet_state.h
+++ b/proxy/fleet_state.h
@@ -38,6 +38,8 @@
     void remove_endpoint(const endpoint_id& endpoint);
     /// Applies a new configuration to the endpoints.
     void on_config();
+    /// The connections to endpoints are shared by so many hosts.
+    void set_hosts(std::size_t hosts);
     /// Ends the use of leaving endpoints that lead no group, or have been leaving for long.
     void retire_leaving(instant now);
 
@@ -48,6 +50,9 @@
     daemon::worker& m_home;
     data_centre_id m_data_centre;
     std::map<endpoint_id, std::shared_ptr<endpoint_pool>> m_pools;
+    void update_pool(endpoint_pool& pool, const listed_endpoint& endpoint) const;
+
+    std::uint32_t m_hosts = 1;
     std::map<endpoint_id, instant> m_leaving_since;
     std::map<group_id, read_bounds> m_bounds;
 };
--- a/proxy/peer_sync.cc
+++ b/proxy/peer_sync.cc
@@ -17,9 +17,7 @@
 constexpr duration round_interval = 200_ms;
 constexpr duration answer_timeout = 180_ms;
 constexpr duration told_lifetime = 2_s;
-constexpr duration cleanup_interval = 1_s;
-// A process that was killed is usually back by then.
-constexpr duration lost_patience = 3_s;
+constexpr duration cleanup_interval = 500_ms;
 constexpr duration removal_timeout = 1_s;
 // Rounds without an answer that vouches for the records.
 constexpr std::uint32_t isolated_rounds = 2;
@@ -86,8 +84,7 @@
             continue;
         }
         const instant since = m_lost_since.emplace(host, now).first->second;
-        const bool removable = may_remove_host(live.size(), hosts.size(), now - since,
-                                               lost_patience, m_fleet.lease.length());
+        const bool removable = may_remove_host(live.size(), hosts.size(), now - since);
         if (!removable || is_answering(record.peer_address)) {
             continue;
         }
@@ -146,9 +143,8 @@
     const steady_time deadline = to_steady(current->sent + answer_timeout);
     while (current->open > 0 && m_answered.wait(deadline)) {
     }
-    const vouching_round words{addresses.size() + 1, current->vouched_by + 1,
-                               m_sync.confirmed_age(boot_now())};
-    const bool is_vouched_for = knows_fleet && !m_is_replacing && confirms_leases(words);
+    const bool is_vouched_for = knows_fleet && !m_is_replacing &&
+                                confirms_leases(current->vouched_by + 1, addresses.size() + 1);
     if (is_vouched_for) {
         m_fleet.lease.confirm(current->sent);
         m_fleet.changed.notify_all();
--- a/proxy/record_mirror.cc
+++ b/proxy/record_mirror.cc
@@ -158,6 +158,11 @@
     }
 }
 
+revision_number record_mirror::host_revision(const host_id& host) const {
+    const auto found = m_items.find(host_key(host));
+    return found == m_items.end() ? 0 : found->second.revision;
+}
+
 std::set<host_id> record_mirror::live_hosts(instant now) const {
     std::set<host_id> live;
     for (const auto& [host, record] : m_hosts) {
--- a/proxy/record_mirror.h
+++ b/proxy/record_mirror.h
@@ -35,6 +35,8 @@
     [[nodiscard]] revision_number revision() const { return m_revision; }
 
     [[nodiscard]] const std::map<host_id, host_record>& hosts() const { return m_hosts; }
+    /// Revision of the host's registration; 0 without one.
+    [[nodiscard]] revision_number host_revision(const host_id& host) const;
     /// Registered hosts that renew their lease, or stopped only a moment ago.
     [[nodiscard]] std::set<host_id> live_hosts(instant now) const;
     /// Revision up to which the host has stopped using replaced primaries of the group.
--- a/proxy/store_sync.cc
+++ b/proxy/store_sync.cc
@@ -15,7 +15,7 @@
 using namespace literals;
 
 constexpr duration confirm_interval = 600_ms;
-constexpr duration confirm_timeout = 600_ms;
+constexpr duration confirm_timeout = 400_ms;
 constexpr duration call_timeout = 1_s;
 constexpr std::uint32_t watch_wait_ms = 10'000;
 constexpr duration watch_slack = 1_s;
@@ -25,6 +25,8 @@
 // A host that loses the store counts as lost after this time.
 constexpr std::uint32_t alive_ttl_ms = 1500;
 constexpr duration alive_interval = 500_ms;
+// Longer than the store is usually away from some hosts.
+constexpr duration newcomer_patience = 8_s;
 constexpr duration publish_interval = 100_ms;
 // Statements in progress at a primary that is replaced get this time to end.
 constexpr duration statement_patience = 300_ms;
@@ -160,14 +162,13 @@
     while (!m_stopped) {
         const instant begun = boot_now();
         if (!m_registered) {
+            note_earlier_registration();
             register_host();
         }
         confirm();
         m_mirror.drop_departed();
         m_fleet.retire_leaving(boot_now());
-        for (const auto& [id, pool] : m_fleet.all_pools()) {
-            pool->trim();
-        }
+        m_fleet.set_hosts(m_mirror.hosts().size());
         pause(std::max(begun + confirm_interval - boot_now(), retry_pause));
     }
 }
@@ -230,8 +231,9 @@
     }
 }
 
-bool store_sync::knows_hosts(instant now) const {
-    return m_first_confirmed && *m_first_confirmed + m_fleet.lease.length() <= now;
+bool store_sync::may_replace(instant now) const {
+    const duration wait = m_was_registered ? m_fleet.lease.length() : newcomer_patience;
+    return m_first_confirmed && *m_first_confirmed + wait <= now;
 }
 
 duration store_sync::confirmed_age(instant now) const {
@@ -273,6 +275,7 @@
     while (!m_stopped) {
         for (const auto& [id, pool] : m_fleet.all_pools()) {
             pool->check_silence();
+            pool->trim();
         }
         publish_reachability();
         pause(publish_interval);
@@ -295,6 +298,17 @@
     }
 }
 
+/// Hosts that the store turned away learn of a new one only from their peers.
+void store_sync::note_earlier_registration() {
+    if (m_first_confirmed || m_registered) {
+        return;
+    }
+    const auto item = m_store.get(host_key(m_self), call_deadline());
+    const auto earlier = item ? decode_host_record(item.value->value) : std::nullopt;
+    m_was_registered =
+        m_was_registered || (earlier && earlier->incarnation != m_own_record.incarnation);
+}
+
 bool store_sync::register_host() {
     platform::store_transaction transaction;
     transaction.updates.push_back(
--- a/proxy/store_sync.h
+++ b/proxy/store_sync.h
@@ -31,8 +31,8 @@
     [[nodiscard]] const host_record& own_record() const { return m_own_record; }
     /// Reads the fleet's records now; true when the store answered.
     bool confirm();
-    /// True when the hosts that may rely on primaries are all known.
-    [[nodiscard]] bool knows_hosts(instant now) const;
+    /// True when all hosts that may rely on primaries are known, and ask this one.
+    [[nodiscard]] bool may_replace(instant now) const;
     /// Time since the store was last known to hold the records that are known here.
     [[nodiscard]] duration confirmed_age(instant now) const;
     /// True when the last confirmed listing named this incarnation of the host.
@@ -58,6 +58,7 @@
     void run_publish();
     void publish_reachability();
     bool register_host();
+    void note_earlier_registration();
     void create_missing_records();
     void create_record(const group_id& group);
     void wait_for_statements(const group_id& group);
@@ -75,6 +76,7 @@
     std::optional<revision_number> m_watched;  ///< Changes up to here were received.
     std::optional<instant> m_behind_since;
     std::optional<instant> m_first_confirmed;
+    bool m_was_registered = false;  ///< By an earlier process of this host.
     std::optional<instant> m_confirmed;
     std::map<host_id, incarnation_number> m_confirmed_hosts;
     platform::lease_id m_lease = platform::no_lease;
--- a/src/connection_pool.cc
+++ b/src/connection_pool.cc
@@ -99,6 +99,21 @@
     return surplus;
 }
 
+std::vector<connection_id> connection_pool::take_idle_above(std::uint32_t keep, duration idle_for,
+                                                            instant now) {
+    std::vector<connection_id> taken;
+    while (!m_idle.empty() && size() > keep) {
+        const connection_id id = m_idle.front();
+        if (m_connections.at(id).idle_since + idle_for > now) {
+            break;
+        }
+        m_idle.erase(m_idle.begin());
+        m_connections.erase(id);
+        taken.push_back(id);
+    }
+    return taken;
+}
+
 std::vector<connection_id> connection_pool::take_all() {
     std::vector<connection_id> all;
     for (const auto& [id, connection] : m_connections) {
--- /dev/null
+++ b/src/connection_share.cc
@@ -0,0 +1,31 @@
+#include "jasminelead/connection_share.h"
+
+#include <algorithm>
+
+namespace jasminelead {
+namespace {
+
+using namespace literals;
+
+// Others give up their idle connections within `idle_above_share`; a daemon below its share asks
+// again sooner than one above.
+constexpr duration retry_below_share = 50_ms;
+constexpr duration retry_above_share = 400_ms;
+
+}  // namespace
+
+void connection_share::set_limit(std::uint32_t max_connections, std::uint32_t hosts) {
+    m_max = std::max<std::uint32_t>(max_connections, 1);
+    m_share = std::max<std::uint32_t>(m_max / std::max<std::uint32_t>(hosts, 1), 1);
+}
+
+void connection_share::on_refused(std::uint32_t open, instant now) {
+    m_refused_at = open;
+    m_retry_at = now + (open < m_share ? retry_below_share : retry_above_share);
+}
+
+std::uint32_t connection_share::allowed(instant now) const {
+    return now < m_retry_at ? std::min(m_refused_at, m_max) : m_max;
+}
+
+}  // namespace jasminelead
--- a/src/fleet_quorum.cc
+++ b/src/fleet_quorum.cc
@@ -1,28 +1,25 @@
 #include "jasminelead/fleet_quorum.h"
 
 namespace jasminelead {
+namespace {
 
-bool confirms_leases(const vouching_round& round) {
-    return is_majority(round.vouched, round.registered) && round.store_age < longest_vouching;
-}
+using namespace literals;
+
+// After the end of its lease in the store. A process that starts again registers anew.
+constexpr duration usual_patience = 700_ms;
+// A few hosts that see only each other are more likely cut off than the last ones alive.
+constexpr duration minority_patience = 6_s;
+
+}  // namespace
 
-/// A host that has not stopped may have been vouched for until just before the last of them did.
 bool is_unused(const stop_progress& progress) {
-    if (progress.registered > 0 && progress.stopped >= progress.registered) {
-        return true;
-    }
-    return blocks_majority(progress.stopped, progress.registered) &&
-           progress.since_blocked >= progress.lease_length;
+    const bool all_stopped = progress.registered > 0 && progress.stopped >= progress.registered;
+    return all_stopped || progress.since_mark >= progress.lease_length;
 }
 
-/// Removing hosts shrinks later majorities. Hosts that are a majority by themselves could be
-/// vouching for each other.
-bool may_remove_host(std::size_t live_hosts, std::size_t registered_hosts, duration lost,
-                     duration patience, duration lease_length) {
-    if (blocks_majority(live_hosts, registered_hosts)) {
-        return lost >= patience;
-    }
-    return lost >= patience + longest_vouching + lease_length;
+bool may_remove_host(std::size_t live_hosts, std::size_t registered_hosts, duration lost) {
+    const bool half_live = live_hosts * 2 >= registered_hosts;
+    return lost >= (half_live ? usual_patience : minority_patience);
 }
 
 }  // namespace jasminelead
