--- /dev/null
+++ b/test/connection_share_test.cc
@@ -0,0 +1,35 @@
+#include "jasminelead/connection_share.h"
+
+#include <catch2/catch.hpp>
+
+using namespace jasminelead;
+using namespace jasminelead::literals;
+
+namespace {
+
+const instant start = instant::from_ms(1000);
+
+}  // namespace
+
+TEST_CASE("a share is the equal part of the limit, and at least one connection") {
+    connection_share share;
+    share.set_limit(22, 6);
+    CHECK(share.share() == 3);
+    CHECK(share.allowed(start) == 22);
+    share.set_limit(34, 69);
+    CHECK(share.share() == 1);
+}
+
+// Load pattern: all daemons open connections at once after a restart. The one that comes last is
+// below its share and asks again soon; one that holds more than its share waits longer.
+TEST_CASE("after a refusal a daemon below its share asks again sooner") {
+    connection_share late;
+    late.set_limit(22, 6);
+    late.on_refused(0, start);
+    connection_share early;
+    early.set_limit(22, 6);
+    early.on_refused(9, start);
+    CHECK(late.retry_at() < early.retry_at());
+    CHECK(early.allowed(start + 1_ms) == 9);
+    CHECK(early.allowed(early.retry_at()) == 22);
+}
--- /dev/null
+++ b/test/own_records_test.cc
@@ -0,0 +1,59 @@
+#include "proxy/own_records.h"
+
+#include <catch2/catch.hpp>
+
+#include "proxy/peer_messages.h"
+
+using namespace jasminelead;
+using namespace jasminelead::literals;
+using namespace jasminelead::proxy;
+
+TEST_CASE("records of groups and hosts survive encoding") {
+    group_record group;
+    group.phase = leadership_phase::changing;
+    group.primary = endpoint_id{"a"};
+    group.successor = endpoint_id{"b"};
+    group.changed_by = host_id{"h1"};
+    group.term = 4;
+    CHECK(decode_group_record(encode_group_record(group)) == group);
+    const host_record host{host_id{"h1"}, 17, "127.0.0.1:7400", {endpoint_id{"a"}}};
+    CHECK(decode_host_record(encode_host_record(host)) == host);
+}
+
+TEST_CASE("keys name groups and hosts") {
+    CHECK(group_of_key(group_key(group_id{"shows"})) == group_id{"shows"});
+    CHECK(host_of_key(host_key(host_id{"h1"})) == host_id{"h1"});
+    CHECK(host_of_alive_key(alive_key(host_id{"h1"})) == host_id{"h1"});
+    CHECK_FALSE(group_of_key(host_key(host_id{"h1"})));
+    CHECK(is_stop_key(stop_key(group_id{"shows"}, host_id{"h1"})));
+}
+
+// Guards against a record of another writer that takes a primary away.
+TEST_CASE("incomplete records are refused") {
+    CHECK_FALSE(decode_group_record("{}"));
+    CHECK_FALSE(decode_group_record("\xff"));
+    CHECK_FALSE(decode_host_record("{\"host\":\"h\"}"));
+}
+
+TEST_CASE("peer messages survive encoding") {
+    const peer_question question{
+        host_id{"h1"}, 17, 99, {endpoint_id{"a"}}, {{group_id{"shows"}, 5}}};
+    const auto asked = decode_question(encode_question(question));
+    REQUIRE(asked);
+    CHECK(asked->known == 99);
+    CHECK(asked->unreachable == question.unreachable);
+    CHECK(asked->stopped_use == question.stopped_use);
+    peer_answer answer;
+    answer.knows_sender = true;
+    answer.confirmed_age = 30_ms;
+    answer.changes = {{"k", 7, "v"}, {"gone", 8, std::nullopt}};
+    const auto told = decode_answer(encode_answer(answer));
+    REQUIRE(told);
+    CHECK(told->knows_sender);
+    CHECK(told->confirmed_age == 30_ms);
+    REQUIRE(told->changes.size() == 2);
+    CHECK(told->changes[0].value == "v");
+    CHECK_FALSE(told->changes[1].value);
+    CHECK_FALSE(decode_question("[]"));
+    CHECK_FALSE(decode_answer("{}"));
+}
--- /dev/null
+++ b/test/primary_outage_test.cc
@@ -0,0 +1,65 @@
+#include "jasminelead/primary_outage.h"
+
+#include <catch2/catch.hpp>
+
+using namespace jasminelead;
+using namespace jasminelead::literals;
+
+namespace {
+
+const group_id shows{"shows"};
+const instant start = instant::from_ms(50'000);
+constexpr duration timeout = 800_ms;
+constexpr duration lease_length = 1500_ms;
+
+group_record led(revision_number revision) {
+    group_record record;
+    record.revision = revision;
+    return record;
+}
+
+}  // namespace
+
+// Load pattern: writes arrive every 100 ms while a crashed primary is replaced within 1 s.
+TEST_CASE("writes wait over a usual failover") {
+    primary_outages outages{lease_length};
+    const group_record record = led(5);
+    for (int i = 0; i < 10; ++i) {
+        const instant now = start + 100_ms * i;
+        CHECK(outages.on_unavailable(shows, &record, now, now + timeout) == outage_choice::wait);
+    }
+}
+
+// Load pattern: writes arrive while the primary is cut off for 6 s and nobody replaces it. Those
+// that would only wait for their timeout are refused at once.
+TEST_CASE("writes are refused once the outage is longer than a usual failover") {
+    primary_outages outages{lease_length};
+    const group_record record = led(5);
+    outages.on_unavailable(shows, &record, start, start + timeout);
+    const instant now = start + 1500_ms;
+    CHECK(outages.on_unavailable(shows, &record, now, now + timeout) == outage_choice::refuse);
+    CHECK(outages.on_unavailable(shows, &record, now, now + 5_s) == outage_choice::wait);
+    const instant later = start + 6_s;
+    CHECK(outages.on_unavailable(shows, &record, later, later + 5_s) == outage_choice::refuse);
+}
+
+TEST_CASE("writes wait for a replacement that ends before their timeout") {
+    primary_outages outages{lease_length};
+    const group_record record = led(5);
+    outages.on_unavailable(shows, &record, start, start + timeout);
+    group_record marked = led(6);
+    marked.phase = leadership_phase::changing;
+    const instant seen = start + 2_s;
+    CHECK(outages.on_unavailable(shows, &marked, seen, seen + timeout) == outage_choice::refuse);
+    const instant late = seen + 1300_ms;
+    CHECK(outages.on_unavailable(shows, &marked, late, late + timeout) == outage_choice::wait);
+}
+
+TEST_CASE("an outage begins anew after the primary was back") {
+    primary_outages outages{lease_length};
+    const group_record record = led(5);
+    outages.on_unavailable(shows, &record, start, start + timeout);
+    outages.on_available(shows);
+    const instant now = start + 5_s;
+    CHECK(outages.on_unavailable(shows, &record, now, now + timeout) == outage_choice::wait);
+}
--- /dev/null
+++ b/test/primary_replacement_test.cc
@@ -0,0 +1,60 @@
+#include "jasminelead/primary_replacement.h"
+
+#include <array>
+#include <catch2/catch.hpp>
+
+using namespace jasminelead;
+
+namespace {
+
+primary_health healthy() {
+    primary_health health;
+    health.hosts = 6;
+    return health;
+}
+
+successor_candidate candidate(const char* id, log_position received, std::size_t hosts_without) {
+    return {endpoint_id{id}, {3, received}, hosts_without, false};
+}
+
+}  // namespace
+
+// Guards against two halves of the fleet that take the primary from each other in turns.
+TEST_CASE("a primary is replaced when most hosts have lost it") {
+    primary_health health = healthy();
+    CHECK(decide_replacement(health) == replacement::none);
+    health.hosts_without_primary = 3;
+    CHECK(decide_replacement(health) == replacement::none);
+    health.hosts_without_primary = 4;
+    CHECK(decide_replacement(health) == replacement::urgent);
+}
+
+TEST_CASE("a primary that is gone or has stepped down is replaced") {
+    primary_health health = healthy();
+    health.is_listed = false;
+    CHECK(decide_replacement(health) == replacement::urgent);
+    health = healthy();
+    health.sees_itself_as_replica = true;
+    CHECK(decide_replacement(health) == replacement::urgent);
+}
+
+TEST_CASE("a leaving primary is replaced in a planned way") {
+    primary_health health = healthy();
+    health.is_leaving = true;
+    CHECK(decide_replacement(health) == replacement::planned);
+}
+
+// Guards against the loss of commits that another replica has.
+TEST_CASE("the most complete log succeeds") {
+    const std::array all{candidate("a", 10, 0), candidate("b", 12, 2), candidate("c", 11, 0)};
+    CHECK(choose_successor(all, 6) == 1);
+}
+
+// Guards against a successor that most hosts cannot reach, so that it is replaced again at once.
+TEST_CASE("a replica that most hosts have lost succeeds only as the last one") {
+    const std::array all{candidate("a", 10, 0), candidate("b", 12, 4)};
+    CHECK(choose_successor(all, 6) == 0);
+    const std::array last{candidate("b", 12, 4)};
+    CHECK(choose_successor(last, 6) == 0);
+    CHECK_FALSE(choose_successor({}, 6));
+}
--- /dev/null
+++ b/test/read_bounds_test.cc
@@ -0,0 +1,66 @@
+#include "jasminelead/read_bounds.h"
+
+#include <catch2/catch.hpp>
+
+using namespace jasminelead;
+using namespace jasminelead::literals;
+
+namespace {
+
+const instant start = instant::from_ms(10'000);
+
+read_bounds marks_every_100_ms() {
+    read_bounds bounds;
+    for (int i = 0; i <= 20; ++i) {
+        const auto position = static_cast<log_position>(100 + i);
+        bounds.record({start + 100_ms * i, {3, position}, 7});
+    }
+    return bounds;
+}
+
+}  // namespace
+
+// Guards against reads that miss a commit which was acknowledged before the allowed age.
+TEST_CASE("the oldest mark that is young enough bounds a read") {
+    const read_bounds bounds = marks_every_100_ms();
+    const instant arrived = start + 2_s;
+    CHECK(bounds.required(arrived, 1500_ms, {}) == log_point{3, 105});
+    CHECK(bounds.required(arrived, 1450_ms, {}) == log_point{3, 106});
+    CHECK_FALSE(bounds.required(start + 10_s, 1500_ms, {}));
+}
+
+// Guards against sessions that do not see their own writes.
+TEST_CASE("the session's own writes are part of the bound") {
+    const read_bounds bounds = marks_every_100_ms();
+    const instant arrived = start + 2_s;
+    CHECK(bounds.required(arrived, 1500_ms, {log_point{3, 119}, 7}) == log_point{3, 119});
+    CHECK(bounds.required(arrived, 1500_ms, {log_point{3, 50}, 7}) == log_point{3, 105});
+}
+
+// Guards against reads that wait for ever for a write which the promotion rolled back.
+TEST_CASE("a write under an earlier primary is covered by the first mark of the present one") {
+    read_bounds bounds = marks_every_100_ms();
+    bounds.record({start + 2100_ms, {4, 110}, 9});
+    const instant arrived = start + 2200_ms;
+    CHECK(bounds.required(arrived, 1500_ms, {log_point{3, 120}, 7}) == log_point{4, 110});
+}
+
+// Guards against a session whose write is newer than all marks of its primary.
+TEST_CASE("a write under a later primary than the marks needs the primary") {
+    const read_bounds bounds = marks_every_100_ms();
+    CHECK_FALSE(bounds.required(start + 2_s, 1500_ms, {log_point{4, 110}, 9}));
+}
+
+TEST_CASE("marks of an earlier primary are not mixed with later ones") {
+    read_bounds bounds = marks_every_100_ms();
+    bounds.record({start + 2100_ms, {4, 110}, 9});
+    bounds.record({start + 2200_ms, {3, 130}, 7});
+    CHECK(bounds.newest()->point == log_point{4, 110});
+}
+
+TEST_CASE("the lag of an endpoint is the age of the first mark above it") {
+    const read_bounds bounds = marks_every_100_ms();
+    const instant now = start + 2_s;
+    CHECK(bounds.lag({3, 120}, now) == 0_ms);
+    CHECK(bounds.lag({3, 110}, now) == 900_ms);
+}
--- /dev/null
+++ b/test/records_test.cc
@@ -0,0 +1,82 @@
+#include "platform/records.h"
+
+#include <rapidcheck.h>
+
+#include <catch2/catch.hpp>
+
+using namespace jasminelead;
+using namespace jasminelead::literals;
+using namespace jasminelead::platform;
+
+namespace {
+
+const std::string config_text = R"({"version":7,"routes":[
+  {"name":"r-1","host":"fiti","prefix":"/","type":"read_your_writes","timeoutMs":800,"goalMs":250,
+   "priority":2,"service":"huvo","maxTries":2,"maxStaleMs":2500},
+  {"name":"r-2","host":"lepu","prefix":"/","type":"primary","timeoutMs":800,"goalMs":150,
+   "priority":1,"service":"huvo","maxTries":2}],
+  "services":[{"name":"huvo","healthPath":"/healthz","maxConns":22,"syncReplicas":0}],
+  "limits":{"txIdleMs":3000}})";
+
+const std::string endpoint_text = R"({"service":"huvo","addr":"10.128.0.9:8080","zone":"sea",
+  "version":"v1","slots":3,"state":"ready","coldLeftMs":0,"dbRole":"replica","seq":4,"born":17})";
+
+std::string replaced(std::string text, const std::string& from, const std::string& to) {
+    return text.replace(text.find(from), from.size(), to);
+}
+
+}  // namespace
+
+TEST_CASE("a configuration is decoded") {
+    const auto config = decode_config(config_text);
+    REQUIRE(config);
+    CHECK(config->version == 7);
+    CHECK(config->transaction_idle_limit == 3_s);
+    CHECK(config->max_connections(group_id{"huvo"}) == 22);
+    const database_route* const route = config->find("fiti");
+    REQUIRE(route != nullptr);
+    CHECK(route->policy == read_policy::read_your_writes);
+    CHECK(route->max_stale == 2500_ms);
+    CHECK(route->latency_goal == 250_ms);
+    CHECK(config->find("r-1") == nullptr);
+}
+
+// Guards against half a configuration that drops routes.
+TEST_CASE("an incomplete configuration is refused") {
+    CHECK_FALSE(decode_config("{"));
+    CHECK_FALSE(decode_config("{}"));
+    CHECK_FALSE(decode_config(replaced(config_text, "\"version\":7", "\"version\":\"7\"")));
+    CHECK_FALSE(decode_config(replaced(config_text, "read_your_writes", "other")));
+    CHECK_FALSE(decode_config(replaced(config_text, "\"maxConns\":22,", "")));
+}
+
+TEST_CASE("an endpoint is decoded") {
+    const auto endpoint = decode_endpoint("servers/i-1", endpoint_text);
+    REQUIRE(endpoint);
+    CHECK(endpoint->entry.id == endpoint_id{"i-1"});
+    CHECK(endpoint->entry.group == group_id{"huvo"});
+    CHECK(endpoint->entry.state == member_state::live);
+    CHECK(endpoint->slots == 3);
+    CHECK(endpoint->started_ms == 17);
+    CHECK(endpoint->role == endpoint_role::replica);
+}
+
+// Guards against entries of other writers that send statements to a wrong address.
+TEST_CASE("an entry that is not complete names no endpoint") {
+    for (const char* part : {"\"state\":\"ready\",", "\"dbRole\":\"replica\",", "\"slots\":3,"}) {
+        CHECK_FALSE(decode_endpoint("servers/i-1", replaced(endpoint_text, part, "")));
+    }
+    CHECK_FALSE(decode_endpoint("servers/i-1", replaced(endpoint_text, "\"ready\"", "\"up\"")));
+    CHECK_FALSE(decode_endpoint("servers/i-1", replaced(endpoint_text, ":17", ":17.5")));
+    CHECK_FALSE(decode_endpoint("servers/i-1", "\xff\xfe"));
+    CHECK_FALSE(decode_endpoint("servers/", endpoint_text));
+    CHECK_FALSE(decode_endpoint("other/i-1", endpoint_text));
+}
+
+TEST_CASE("any bytes are decoded to something or nothing") {
+    const bool holds = rc::check([](const std::string& text) {
+        (void)decode_config(text);
+        (void)decode_endpoint("servers/i", text);
+    });
+    CHECK(holds);
+}
--- /dev/null
+++ b/test/wire_test.cc
@@ -0,0 +1,146 @@
+#include "platform/wire.h"
+
+#include <rapidcheck.h>
+
+#include <catch2/catch.hpp>
+#include <string>
+
+using namespace jasminelead;
+using namespace jasminelead::platform;
+
+namespace {
+
+template <class Type, class Variant>
+Type as(const Variant& value) {
+    REQUIRE(std::holds_alternative<Type>(value));
+    return std::get<Type>(value);
+}
+
+/// Feeds the bytes in pieces and returns the complete lines.
+std::vector<std::string> lines_of(const std::string& bytes, std::size_t piece) {
+    line_buffer buffer;
+    std::vector<std::string> lines;
+    for (std::size_t at = 0; at < bytes.size(); at += piece) {
+        buffer.append(std::string_view{bytes}.substr(at, piece));
+        while (const auto line = buffer.next()) {
+            lines.emplace_back(*line);
+        }
+    }
+    return lines;
+}
+
+}  // namespace
+
+// Guards against lines that are cut or joined when they arrive in pieces.
+TEST_CASE("lines are the same however their bytes arrive") {
+    const bool holds = rc::check([] {
+        const auto texts = *rc::gen::container<std::vector<std::string>>(
+            rc::gen::container<std::string>(rc::gen::inRange(' ', '~')));
+        std::string bytes;
+        for (const std::string& text : texts) {
+            bytes.append(text).append("\r\n");
+        }
+        const auto piece = static_cast<std::size_t>(*rc::gen::inRange(1, 20));
+        RC_ASSERT(lines_of(bytes, piece) == texts);
+    });
+    CHECK(holds);
+}
+
+// Guards against a caller that sends a line without an end and fills the memory.
+TEST_CASE("a line over the limit is noticed") {
+    line_buffer buffer;
+    buffer.append(std::string(most_line_bytes, 'x'));
+    CHECK_FALSE(buffer.next());
+    CHECK_FALSE(buffer.overflowed());
+    buffer.append("x");
+    CHECK_FALSE(buffer.next());
+    CHECK(buffer.overflowed());
+}
+
+TEST_CASE("callers' messages are decoded") {
+    CHECK(as<startup_request>(decode_request("STARTUP lepu270 u3f1")).database == "lepu270");
+    const auto query = as<query_request>(decode_request("QUERY 5c0e READ 1a4"));
+    CHECK(query.id == "5c0e");
+    CHECK(query.text == "READ 1a4");
+    CHECK(std::holds_alternative<terminate_request>(decode_request("TERMINATE")));
+}
+
+// Guards against statements that callers pass off as the daemon's own.
+TEST_CASE("messages that no caller may send are refused") {
+    for (const char* line :
+         {"", "QUERY", "QUERY - READ 1", "STARTUP", "SELECT 1", "query 1 READ 2"}) {
+        CHECK(std::holds_alternative<malformed_request>(decode_request(line)));
+    }
+}
+
+TEST_CASE("statements are decoded") {
+    CHECK_FALSE(as<begin_statement>(decode_statement("BEGIN")).read_only);
+    CHECK(as<begin_statement>(decode_statement("BEGIN READ")).read_only);
+    CHECK(as<item_statement>(decode_statement("READ 1a4")).kind == access::read);
+    CHECK(as<item_statement>(decode_statement("WRITE 1a4 x")).kind == access::write);
+    const auto set = as<set_statement>(decode_statement("SET a b c"));
+    CHECK(set.name == "a");
+    CHECK(set.value == "b c");
+    const auto prepared = as<prepare_statement>(decode_statement("PREPARE s1 WRITE q2c"));
+    CHECK(prepared.kind == access::write);
+    CHECK(prepared.shape == "q2c");
+    const auto execute = as<execute_statement>(decode_statement("EXECUTE s1 1a4 data"));
+    CHECK(execute.name == "s1");
+    CHECK(execute.arguments == "1a4 data");
+    CHECK(as<deallocate_statement>(decode_statement("DEALLOC s1")).name == "s1");
+}
+
+// Guards against a freshness prefix or control statement of a caller that reaches an endpoint.
+TEST_CASE("other texts are no statements") {
+    for (const char* text : {"", "AFTER 1.2 READ 1", "STATUS", "RESET", "STEPDOWN 3", "PAUSE 4",
+                             "BEGIN WRITE", "COMMIT now", "READ", "PREPARE s READ"}) {
+        CHECK(std::holds_alternative<unknown_statement>(decode_statement(text)));
+    }
+}
+
+TEST_CASE("answers of endpoints are decoded") {
+    CHECK(as<row_line>(decode_endpoint_line("ROW a b")).text == "a b");
+    CHECK(as<done_line>(decode_endpoint_line("DONE 7.1f3")).signature == "7.1f3");
+    const auto error = as<error_line>(decode_endpoint_line("ERROR READONLY i-7f"));
+    CHECK(error.fault == statement_fault::read_only);
+    const auto ready = as<ready_line>(decode_endpoint_line("READY T 3.1209"));
+    CHECK(ready.state == transaction_state::open);
+    CHECK(ready.point == log_point{3, 1209});
+    CHECK_FALSE(as<ready_line>(decode_endpoint_line("READY I -")).point);
+}
+
+// Guards against an unknown code that is taken for a promise that nothing was run.
+TEST_CASE("a code that is not known promises nothing") {
+    const auto error = as<error_line>(decode_endpoint_line("ERROR NEWCODE text"));
+    CHECK_FALSE(excludes_run(error.fault));
+}
+
+TEST_CASE("a status row is decoded") {
+    const auto status = decode_status_rows("ROW replica 3 3.1209 0 12 2 17\r\n");
+    REQUIRE(status);
+    CHECK(status->role == endpoint_role::replica);
+    CHECK(status->term == 3);
+    CHECK(status->received == log_point{3, 1209});
+    CHECK(status->busy_slots == 2);
+    CHECK(status->connections == 17);
+    CHECK_FALSE(decode_status_rows("ROW replica x\r\n"));
+    CHECK_FALSE(decode_status_rows(""));
+}
+
+TEST_CASE("queries carry id, text and the required point") {
+    std::string out;
+    encode_query(out, "5c", "READ 1");
+    encode_query_after(out, "5d", {3, 12}, "READ 2");
+    CHECK(out == "QUERY 5c READ 1\r\nQUERY 5d AFTER 3.12 READ 2\r\n");
+}
+
+// Guards against input that makes a decoder fail hard.
+TEST_CASE("any bytes are decoded to something") {
+    const bool holds = rc::check([](const std::string& line) {
+        (void)decode_request(line);
+        (void)decode_statement(line);
+        (void)decode_endpoint_line(line);
+        (void)decode_status(line);
+    });
+    CHECK(holds);
+}
