Test the daemon against stand-ins of the platform

Change: support/session_platform and support/session_endpoint model the store, the promotion call and the line protocol; session_daemon_test runs a daemon against them. Vouching for leases ends before a newcomer may replace a primary: a lone host vouched for itself without end (found by the test of a store that is down).

--- a/include/jasminelead/fleet_quorum.h
+++ b/include/jasminelead/fleet_quorum.h
@@ -17,10 +17,13 @@
     return part * 2 > whole;
 }
 
-/// True when the words of the hosts, the own one included, stand for an answer of the store.
-constexpr bool confirms_leases(std::size_t vouched, std::size_t registered) {
-    return registered > 0 && vouched >= registered;
-}
+/// A host that is new to the fleet replaces no primary for this long.
+inline constexpr duration newcomer_patience = duration::from_ms(8000);
+
+/// True when the words of the hosts, the own one included, stand for an answer of the store that
+/// was last heard `store_age` ago.
+bool confirms_leases(std::size_t vouched, std::size_t registered, duration store_age,
+                     duration lease_length);
 
 /// Progress of a host that waits until nobody relies on a primary that it replaces.
 struct stop_progress {
--- a/proxy/peer_sync.h
+++ b/proxy/peer_sync.h
@@ -27,7 +27,10 @@
     /// While this daemon replaces a primary, the others' words do not confirm its own leases.
     void set_replacing(bool is_replacing) { m_is_replacing = is_replacing; }
     void set_seeds(const std::vector<std::string>& seeds);
-    void stop() { m_stopped = true; }
+    void stop() {
+        m_stopped = true;
+        m_pool.close();
+    }
 
     /// Answers another daemon; nothing when the question cannot be read.
     std::optional<std::string> answer(std::string_view question);
--- a/proxy/session.h
+++ b/proxy/session.h
@@ -23,6 +23,8 @@
     void serve();
     /// Ends the session as soon as no statement is in progress and no transaction is open.
     void close_when_idle();
+    /// Ends the session at once.
+    void abort() { m_stream.close(); }
     /// Rolls an open transaction back at its next pause, so that the session can end.
     void end_transaction();
 
--- a/proxy/session_daemon.cc
+++ b/proxy/session_daemon.cc
@@ -18,6 +18,7 @@
 // The balancer needs two missed probes, a second apart, to take a daemon out.
 constexpr duration balancer_delay = 2200_ms;
 // Shares of the grace period at which idle sessions, open transactions and the rest are closed.
+constexpr double idle_share = 0.4;
 constexpr double transaction_share = 0.5;
 constexpr double last_share = 0.85;
 
@@ -36,7 +37,15 @@
       m_peer_pages{m_home, [this](auto target, auto body) { return peer_page(target, body); }},
       m_acceptor{m_home.io()} {}
 
-session_daemon::~session_daemon() = default;
+session_daemon::~session_daemon() {
+    stop_gracefully();
+    wait_stopped();
+    m_home.stop();
+}
+
+std::uint16_t session_daemon::port() const {
+    return m_acceptor.local_endpoint().port();
+}
 
 std::optional<std::string> session_daemon::start() {
     if (auto fault = open_listener(m_acceptor, m_settings.listen)) {
@@ -194,7 +203,7 @@
     const instant begun = boot_now();
     log_line{log_class::change, "stopping"}.with("sessions", m_sessions.size()).write();
     note_ready();
-    const instant close_idle = begun + balancer_delay;
+    const instant close_idle = begun + std::min(balancer_delay, m_settings.stop_grace * idle_share);
     const instant end_transactions = begun + m_settings.stop_grace * transaction_share;
     const instant end = begun + m_settings.stop_grace * last_share;
     while (boot_now() < end && !(boot_now() >= close_idle && m_sessions.empty())) {
@@ -210,6 +219,10 @@
         }
         boost::this_fiber::sleep_until(to_steady(boot_now() + stop_poll));
     }
+    for (const auto& item : m_sessions) {
+        item->abort();
+    }
+    close_listeners();
     m_sync.stop();
     m_peers.stop();
     m_failover.stop();
@@ -223,6 +236,14 @@
     m_stopped.notify_all();
 }
 
+void session_daemon::close_listeners() {
+    boost::system::error_code ignored;
+    m_acceptor.close(ignored);
+    m_readiness.stop();
+    m_metrics.stop();
+    m_peer_pages.stop();
+}
+
 void session_daemon::wait_stopped() {
     m_stopped.wait(false);
 }
--- a/proxy/session_daemon.h
+++ b/proxy/session_daemon.h
@@ -30,6 +30,8 @@
 
     /// Returns the reason when the daemon cannot listen.
     std::optional<std::string> start();
+    /// Port for callers.
+    [[nodiscard]] std::uint16_t port() const;
     /// Takes over what may change without a start: the addresses of the store, of promotions and
     /// of seeds, the grace period and the log level. Any thread.
     void reload(const settings& loaded);
@@ -53,6 +55,7 @@
     void run_isolation_check();
     void run_log_flush();
     void run_stop();
+    void close_listeners();
     void note_ready();
 
     settings m_settings;
--- a/proxy/status_pages.cc
+++ b/proxy/status_pages.cc
@@ -65,6 +65,9 @@
 void status_pages::stop() {
     boost::system::error_code ignored;
     m_acceptor.close(ignored);
+    for (daemon::fiber_stream* const stream : m_open) {
+        stream->close();
+    }
 }
 
 void status_pages::accept_next() {
@@ -83,8 +86,10 @@
 void status_pages::serve(daemon::tcp::socket socket) {
     daemon::fiber_stream stream{m_home.io(), std::move(socket)};
     std::string received;
+    m_open.insert(&stream);
     while (answer_one(stream, received)) {
     }
+    m_open.erase(&stream);
     stream.close();
 }
 
--- a/proxy/status_pages.h
+++ b/proxy/status_pages.h
@@ -3,6 +3,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <functional>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -37,6 +38,7 @@
     daemon::worker& m_home;
     page_source m_source;
     daemon::tcp::acceptor m_acceptor;
+    std::set<daemon::fiber_stream*> m_open;
 };
 
 /// Binds and listens; returns the reason when that fails.
--- a/proxy/store_sync.cc
+++ b/proxy/store_sync.cc
@@ -5,6 +5,7 @@
 #include <utility>
 #include <vector>
 
+#include "jasminelead/fleet_quorum.h"
 #include "platform/records.h"
 #include "proxy/clock.h"
 #include "proxy/event_log.h"
@@ -25,8 +26,6 @@
 // A host that loses the store counts as lost after this time.
 constexpr std::uint32_t alive_ttl_ms = 1500;
 constexpr duration alive_interval = 500_ms;
-// Longer than the store is usually away from some hosts.
-constexpr duration newcomer_patience = 8_s;
 constexpr duration publish_interval = 100_ms;
 // Statements in progress at a primary that is replaced get this time to end.
 constexpr duration statement_patience = 300_ms;
--- a/proxy/store_sync.h
+++ b/proxy/store_sync.h
@@ -24,7 +24,10 @@
                const settings& options);
 
     void start();
-    void stop() { m_stopped = true; }
+    void stop() {
+        m_stopped = true;
+        m_store.close();
+    }
 
     [[nodiscard]] platform::store_client& store() { return m_store; }
     [[nodiscard]] record_mirror& records() { return m_mirror; }
--- a/src/fleet_quorum.cc
+++ b/src/fleet_quorum.cc
@@ -12,6 +12,13 @@
 
 }  // namespace
 
+/// A newcomer that the hosts have not heard of must find their leases ended.
+bool confirms_leases(std::size_t vouched, std::size_t registered, duration store_age,
+                     duration lease_length) {
+    const bool is_complete = registered > 0 && vouched >= registered;
+    return is_complete && store_age + lease_length < newcomer_patience;
+}
+
 bool is_unused(const stop_progress& progress) {
     const bool all_stopped = progress.registered > 0 && progress.stopped >= progress.registered;
     return all_stopped || progress.since_mark >= progress.lease_length;
--- /dev/null
+++ b/support/session_endpoint.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <thread>
+#include <vector>
+
+/// Stand-in for a group of endpoints that speak the line protocol. Replication is immediate.
+namespace jasminelead::support {
+
+/// What the group's endpoints have done.
+struct session_group_state {
+    std::mutex lock;
+    std::map<std::string, std::string> items;
+    std::uint64_t term = 1;
+    std::uint64_t position = 0;
+    std::string primary;
+    std::vector<std::string> log;  ///< "endpoint text" of each query that was run.
+};
+
+class session_endpoint {
+public:
+    session_endpoint(std::shared_ptr<session_group_state> group, std::string group_name,
+                     std::string id);
+    session_endpoint(const session_endpoint&) = delete;
+    session_endpoint& operator=(const session_endpoint&) = delete;
+    session_endpoint(session_endpoint&&) = delete;
+    session_endpoint& operator=(session_endpoint&&) = delete;
+    ~session_endpoint();
+
+    [[nodiscard]] std::string address() const;
+    [[nodiscard]] const std::string& id() const { return m_id; }
+    /// The next statement with this verb runs, and its connection closes without an answer.
+    void lose_next_answer(std::string verb);
+    /// The next statement with this verb is refused as not run.
+    void refuse_next(std::string verb, std::string code);
+    /// Closes all connections and refuses new ones.
+    void crash();
+    [[nodiscard]] int connections() const { return m_accepted; }
+
+private:
+    struct session {
+        std::map<std::string, std::string> written;  ///< By the open transaction.
+        std::map<std::string, std::string> prepared;
+        std::map<std::string, std::string> values;
+        char state = 'I';
+    };
+    struct connection {
+        explicit connection(boost::asio::ip::tcp::socket opened) : socket{std::move(opened)} {}
+        boost::asio::ip::tcp::socket socket;
+        std::thread thread;
+    };
+
+    void accept_all();
+    void serve(boost::asio::ip::tcp::socket& socket);
+    /// The answer to one line; empty closes the connection.
+    std::string answer(session& open, const std::string& line);
+    std::string run(session& open, const std::string& id, std::string text);
+    std::string run_item(session& open, const std::string& verb, const std::string& item,
+                         const std::string& data);
+    std::string commit(session& open);
+    std::string done(const session& open, const std::string& rows) const;
+    std::string refused(session& open, const std::string& code) const;
+    [[nodiscard]] std::string point() const;
+
+    std::shared_ptr<session_group_state> m_group;
+    std::string m_group_name;
+    std::string m_id;
+    std::mutex m_fault_lock;
+    std::string m_lost_verb;
+    std::string m_refused_verb;
+    std::string m_refused_code;
+    boost::asio::io_context m_io;
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    std::list<connection> m_connections;
+    std::atomic<bool> m_crashed = false;
+    std::atomic<int> m_accepted = 0;
+    std::thread m_thread;
+};
+
+}  // namespace jasminelead::support
--- /dev/null
+++ b/support/session_platform.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <atomic>
+#include <condition_variable>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "scripted_server.h"
+
+/// Stand-in for the platform of a session daemon: the key-value store and the promotion call.
+namespace jasminelead::support {
+
+class session_platform {
+public:
+    session_platform();
+
+    [[nodiscard]] std::string address() const { return m_server.address(); }
+    void put(const std::string& key, const std::string& value);
+    void remove(const std::string& key);
+    [[nodiscard]] std::optional<std::string> value(const std::string& key);
+    /// While false, every call is answered with status 503.
+    void set_available(bool available) { m_available = available; }
+    /// Called with group and endpoint of each promotion.
+    using promotion = std::function<void(const std::string& group, const std::string& endpoint)>;
+    void on_promotion(promotion callback) { m_promotion = std::move(callback); }
+    [[nodiscard]] int promotions() const { return m_promotions; }
+
+private:
+    struct item {
+        std::string value;
+        std::uint64_t revision = 0;
+        std::uint64_t lease = 0;
+    };
+
+    std::string answer(std::string_view target, const std::string& body);
+    std::string read_key(std::string_view target);
+    std::string read_range(std::string_view target);
+    std::string watch(std::string_view target);
+    std::string commit(const std::string& body);
+    std::string promote(const std::string& body);
+
+    std::mutex m_lock;
+    std::condition_variable m_changed;
+    std::map<std::string, item> m_items;
+    std::map<std::string, std::uint64_t> m_deleted;
+    std::uint64_t m_revision = 1;
+    std::uint64_t m_next_lease = 1;
+    std::atomic<bool> m_available = true;
+    std::atomic<bool> m_stopping = false;
+    std::atomic<int> m_promotions = 0;
+    promotion m_promotion;
+    scripted_server m_server;
+};
+
+}  // namespace jasminelead::support
--- a/test/fleet_quorum_test.cc
+++ b/test/fleet_quorum_test.cc
@@ -10,10 +10,17 @@
 // and two others replace the primary. With majorities, {2 old, 1 new} of 6 and {3 old} of 5 did
 // not meet.
 TEST_CASE("hosts vouch for each other only when none of those they know is missing") {
-    CHECK(confirms_leases(5, 5));
-    CHECK_FALSE(confirms_leases(3, 5));
-    CHECK_FALSE(confirms_leases(4, 5));
-    CHECK_FALSE(confirms_leases(0, 0));
+    CHECK(confirms_leases(5, 5, 2_s, 1500_ms));
+    CHECK_FALSE(confirms_leases(3, 5, 2_s, 1500_ms));
+    CHECK_FALSE(confirms_leases(4, 5, 2_s, 1500_ms));
+    CHECK_FALSE(confirms_leases(0, 0, 2_s, 1500_ms));
+}
+
+// Guards against a newcomer that replaces a primary while hosts that never heard of it vouch for
+// each other.
+TEST_CASE("leases from other hosts end before a newcomer may replace a primary") {
+    CHECK(confirms_leases(5, 5, newcomer_patience - 1501_ms, 1500_ms));
+    CHECK_FALSE(confirms_leases(5, 5, newcomer_patience - 1500_ms, 1500_ms));
 }
 
 TEST_CASE("a primary is unused when all hosts have stopped or their leases have ended") {
--- /dev/null
+++ b/test/session_daemon_test.cc
@@ -0,0 +1,296 @@
+#include "proxy/session_daemon.h"
+
+#include <array>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/streambuf.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+#include <istream>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "session_endpoint.h"
+#include "session_platform.h"
+
+using namespace jasminelead;
+using namespace jasminelead::literals;
+using jasminelead::support::session_endpoint;
+using jasminelead::support::session_group_state;
+using jasminelead::support::session_platform;
+
+namespace {
+
+using tcp = boost::asio::ip::tcp;
+
+std::string free_address() {
+    boost::asio::io_context io;
+    tcp::acceptor probe{io, {boost::asio::ip::address_v4::loopback(), 0}};
+    return "127.0.0.1:" + std::to_string(probe.local_endpoint().port());
+}
+
+std::string config_text(int version) {
+    return R"({"version":)" + std::to_string(version) + R"(,"routes":[
+      {"name":"r1","host":"pay","type":"primary","timeoutMs":1500,"goalMs":150,"priority":1,
+       "service":"shows"},
+      {"name":"r2","host":"view","type":"bounded_stale","timeoutMs":1500,"goalMs":500,
+       "priority":2,"service":"shows","maxStaleMs":1500}],
+      "services":[{"name":"shows","maxConns":8}],"limits":{"txIdleMs":3000}})";
+}
+
+/// One caller. Reads the answer up to its ready line.
+class caller {
+public:
+    caller(std::uint16_t port, const std::string& database) : m_socket{m_io} {
+        m_socket.connect({boost::asio::ip::address_v4::loopback(), port});
+        m_first = exchange("STARTUP " + database + " u1");
+    }
+    std::string query(const std::string& text) {
+        return exchange("QUERY q" + std::to_string(++m_number) + " " + text);
+    }
+    [[nodiscard]] const std::string& first() const { return m_first; }
+
+private:
+    std::string exchange(const std::string& line) {
+        boost::asio::write(m_socket, boost::asio::buffer(line + "\r\n"));
+        std::string all;
+        for (;;) {
+            boost::system::error_code error;
+            boost::asio::read_until(m_socket, m_buffer, "\r\n", error);
+            if (error) {
+                return all + "closed";
+            }
+            std::istream stream{&m_buffer};
+            std::string answer;
+            std::getline(stream, answer);
+            answer.pop_back();
+            all += answer + "|";
+            if (answer.starts_with("READY")) {
+                return all;
+            }
+        }
+    }
+
+    boost::asio::io_context m_io;
+    tcp::socket m_socket;
+    boost::asio::streambuf m_buffer;
+    std::string m_first;
+    int m_number = 0;
+};
+
+/// A platform with one group of three endpoints, and one daemon.
+class fleet {
+public:
+    fleet() {
+        for (const char* id : {"i-a", "i-b", "i-c"}) {
+            m_endpoints.push_back(std::make_unique<session_endpoint>(m_group, "shows", id));
+        }
+        m_group->primary = "i-a";
+        for (const auto& endpoint : m_endpoints) {
+            list(*endpoint, endpoint->id() == "i-a" ? "primary" : "replica", "ready");
+        }
+        m_platform.put("op/config", config_text(3));
+        m_platform.on_promotion([this](const std::string&, const std::string& id) {
+            const std::lock_guard lock{m_group->lock};
+            m_group->primary = id;
+            ++m_group->term;
+        });
+        proxy::settings options;
+        options.host = host_id{"h1"};
+        options.data_centre = data_centre_id{"dc"};
+        options.listen = "127.0.0.1:0";
+        options.readiness = free_address();
+        options.address = "127.0.0.1";
+        options.peer = free_address();
+        options.store = m_platform.address();
+        options.promotion = m_platform.address();
+        options.stop_grace = 400_ms;
+        m_daemon = std::make_unique<proxy::session_daemon>(options);
+        REQUIRE_FALSE(m_daemon->start());
+        wait_until_served();
+    }
+
+    [[nodiscard]] std::uint16_t port() const { return m_daemon->port(); }
+    session_endpoint& endpoint(std::size_t index) { return *m_endpoints[index]; }
+    session_platform& platform() { return m_platform; }
+    proxy::session_daemon& daemon() { return *m_daemon; }
+    void list(const session_endpoint& endpoint, const std::string& role, const std::string& state) {
+        m_platform.put("servers/" + endpoint.id(),
+                       R"({"service":"shows","addr":")" + endpoint.address() +
+                           R"(","zone":"dc","version":"v1","slots":3,"state":")" + state +
+                           R"(","coldLeftMs":0,"dbRole":")" + role + R"(","seq":1})");
+    }
+    std::vector<std::string> log() {
+        const std::lock_guard lock{m_group->lock};
+        return m_group->log;
+    }
+    /// How many queries with this text were run, by whichever endpoint.
+    std::size_t runs(const std::string& text) {
+        std::size_t count = 0;
+        for (const std::string& line : log()) {
+            count += line.ends_with(text) ? 1 : 0;
+        }
+        return count;
+    }
+
+private:
+    void wait_until_served() {
+        for (int i = 0; i < 200; ++i) {
+            caller probe{port(), "pay"};
+            if (probe.first() == "READY I -|" &&
+                probe.query("READ probe").find("DONE") != std::string::npos) {
+                return;
+            }
+            std::this_thread::sleep_for(std::chrono::milliseconds{20});
+        }
+        FAIL("the daemon does not serve");
+    }
+
+    std::shared_ptr<session_group_state> m_group = std::make_shared<session_group_state>();
+    std::vector<std::unique_ptr<session_endpoint>> m_endpoints;
+    session_platform m_platform;
+    std::unique_ptr<proxy::session_daemon> m_daemon;
+};
+
+}  // namespace
+
+TEST_CASE("a write is read on both routes") {
+    fleet all;
+    caller pay{all.port(), "pay"};
+    CHECK(pay.query("WRITE k1 v1") == "DONE signed-by-i-a|READY I -|");
+    CHECK(pay.query("READ k1") == "ROW v1|DONE signed-by-i-a|READY I -|");
+    caller view{all.port(), "view"};
+    CHECK(view.query("READ k1").starts_with("ROW v1|DONE signed-by-"));
+}
+
+TEST_CASE("a database without a route is refused") {
+    fleet all;
+    CHECK(caller{all.port(), "none"}.first() == "ERROR NODB none|closed");
+}
+
+// Guards against sessions that see values and prepared statements of others.
+TEST_CASE("sessions keep their own values and names on shared connections") {
+    fleet all;
+    caller one{all.port(), "pay"};
+    caller two{all.port(), "pay"};
+    CHECK(one.query("SET lang es") == "DONE -|READY I -|");
+    CHECK(one.query("PREPARE s1 WRITE shape1") == "DONE -|READY I -|");
+    CHECK(two.query("PREPARE s1 READ shape2") == "DONE -|READY I -|");
+    CHECK(one.query("EXECUTE s1 k2 v2") == "DONE signed-by-i-a|READY I -|");
+    CHECK(two.query("EXECUTE s1 k2") == "ROW v2|DONE signed-by-i-a|READY I -|");
+    CHECK(two.query("EXECUTE s2 k2") == "ERROR NOSTMT s2|READY I -|");
+    CHECK(all.runs("SET lang es") >= 1);
+}
+
+TEST_CASE("a transaction commits and rolls back") {
+    fleet all;
+    caller pay{all.port(), "pay"};
+    CHECK(pay.query("BEGIN") == "DONE -|READY T -|");
+    CHECK(pay.query("WRITE k3 v3") == "DONE signed-by-i-a|READY T -|");
+    CHECK(pay.query("READ k3") == "ROW v3|DONE signed-by-i-a|READY T -|");
+    CHECK(pay.query("COMMIT") == "DONE signed-by-i-a|READY I -|");
+    CHECK(pay.query("BEGIN") == "DONE -|READY T -|");
+    CHECK(pay.query("WRITE k3 other").starts_with("DONE"));
+    CHECK(pay.query("ROLLBACK") == "DONE -|READY I -|");
+    CHECK(pay.query("READ k3").starts_with("ROW v3|"));
+}
+
+// Guards against a write that is repeated although it ran: its caller pays twice.
+TEST_CASE("a write whose answer is lost is unknown and not repeated") {
+    fleet all;
+    caller pay{all.port(), "pay"};
+    all.endpoint(0).lose_next_answer("WRITE");
+    CHECK(pay.query("WRITE k4 v4").starts_with("ERROR UNKNOWN"));
+    CHECK(all.runs("WRITE k4 v4") == 1);
+}
+
+TEST_CASE("a read whose answer is lost is repeated") {
+    fleet all;
+    caller pay{all.port(), "pay"};
+    all.endpoint(0).lose_next_answer("READ");
+    CHECK(pay.query("READ k5").starts_with("ROW none|DONE"));
+}
+
+// Guards against a refusal that reaches the caller although the statement could still run.
+TEST_CASE("a write that was refused as not run is tried again") {
+    fleet all;
+    caller pay{all.port(), "pay"};
+    all.endpoint(0).refuse_next("WRITE", "BUSY");
+    CHECK(pay.query("WRITE k6 v6").starts_with("DONE"));
+    CHECK(all.runs("WRITE k6 v6") == 1);
+}
+
+// Guards against a caller that is told nothing was kept although its commit ran.
+TEST_CASE("a commit whose answer is lost is unknown, a statement before it rolls back") {
+    fleet all;
+    caller pay{all.port(), "pay"};
+    pay.query("BEGIN");
+    pay.query("WRITE k7 v7");
+    all.endpoint(0).lose_next_answer("COMMIT");
+    CHECK(pay.query("COMMIT").starts_with("ERROR UNKNOWN"));
+    pay.query("BEGIN");
+    all.endpoint(0).lose_next_answer("WRITE");
+    CHECK(pay.query("WRITE k7 other") ==
+          "ERROR ABORTED the connection was lost; rolled back|READY E -|");
+    CHECK(pay.query("READ k7").starts_with("ERROR MALFORMED"));
+    CHECK(pay.query("ROLLBACK") == "DONE -|READY I -|");
+    CHECK(pay.query("READ k7").starts_with("ROW v7|"));
+}
+
+TEST_CASE("a new version of the configuration is in force, an older one is not") {
+    fleet all;
+    all.platform().put("op/config", config_text(5));
+    const auto renamed = [](std::string text) {
+        return text.replace(text.find("\"view\""), 6, "\"list\"");
+    };
+    all.platform().put("op/config", renamed(config_text(9)));
+    bool served = false;
+    for (int i = 0; i < 100 && !served; ++i) {
+        served = caller{all.port(), "list"}.first() == "READY I -|";
+        std::this_thread::sleep_for(std::chrono::milliseconds{20});
+    }
+    CHECK(served);
+    all.platform().put("op/config", config_text(4));
+    std::this_thread::sleep_for(std::chrono::milliseconds{300});
+    CHECK(caller{all.port(), "list"}.first() == "READY I -|");
+}
+
+// Guards against a primary that leaves while the group still writes to it.
+TEST_CASE("a leaving primary is replaced and writes go on") {
+    fleet all;
+    caller pay{all.port(), "pay"};
+    // A host that is new to the fleet replaces no primary for some seconds.
+    std::this_thread::sleep_for(std::chrono::milliseconds{8500});
+    all.list(all.endpoint(0), "primary", "draining");
+    std::string answer;
+    for (int i = 0; i < 60 && answer.find("signed-by-i-a") != std::string::npos || i == 0; ++i) {
+        std::this_thread::sleep_for(std::chrono::milliseconds{50});
+        answer = pay.query("WRITE k8 v8");
+        REQUIRE(answer.starts_with("DONE"));
+    }
+    CHECK(answer.find("signed-by-i-a") == std::string::npos);
+    CHECK(all.platform().promotions() == 1);
+}
+
+// Guards against an acknowledgement after the lease has ended, when the primary may be replaced.
+TEST_CASE("without the store writes go on for a while, end with the lease and return with it") {
+    fleet all;
+    caller pay{all.port(), "pay"};
+    CHECK(pay.query("WRITE k9 v1").starts_with("DONE"));
+    all.platform().set_available(false);
+    std::this_thread::sleep_for(std::chrono::milliseconds{2500});
+    // The only registered host vouches for itself.
+    CHECK(pay.query("WRITE k9 v2").starts_with("DONE"));
+    std::this_thread::sleep_for(std::chrono::milliseconds{6500});
+    CHECK(caller{all.port(), "pay"}.query("WRITE k9 v2").starts_with("ERROR BUSY"));
+    all.platform().set_available(true);
+    std::string answer = "ERROR";
+    for (int i = 0; i < 20 && answer.starts_with("ERROR"); ++i) {
+        std::this_thread::sleep_for(std::chrono::milliseconds{100});
+        caller again{all.port(), "pay"};
+        answer = again.query("WRITE k9 v3");
+    }
+    CHECK(answer.starts_with("DONE"));
+}
