Do not promote an endpoint whose log has diverged

Cause: after a cut had healed, hosts still reported the primary of term 2 as unreachable, and the replica that had been cut off together with the primary of term 1 was promoted, because its log was the longest.

Change: a group's record holds where its primary took over; a log of an earlier term beyond it is no successor. Hosts vote on primaries after they have had the store for a second.

Ruled out: a lease that was valid for too long; the reads came before any acknowledgement after the promotion.

--- a/include/jasminelead/primary_replacement.h
+++ b/include/jasminelead/primary_replacement.h
@@ -34,6 +34,10 @@
     bool is_near = false;           ///< In the data centre of the present primary.
 };
 
+/// True when the log holds commits of an earlier primary that the promotion of the present one, in
+/// `term` and from `taken_over_at` on, has rolled back.
+bool has_diverged(const log_point& received, term_number term, const log_point& taken_over_at);
+
 /// Index of the most complete log among the endpoints that most hosts reach.
 std::optional<std::size_t> choose_successor(std::span<const successor_candidate> candidates,
                                             std::size_t hosts);
--- a/include/jasminelead/read_selector.h
+++ b/include/jasminelead/read_selector.h
@@ -24,6 +24,7 @@
     duration mean_time;              ///< Of a statement at this endpoint; zero while unknown.
     std::optional<log_point> point;  ///< Last known end of its log.
     duration lag;                    ///< How far it was behind the primary at its last answer.
+    duration answer_age;             ///< Time since that answer.
 };
 
 struct read_need {
--- a/proxy/endpoint_pool.cc
+++ b/proxy/endpoint_pool.cc
@@ -261,6 +261,7 @@
     m_quiet_since = boot_now();
     if (point) {
         m_point = point;
+        m_point_at = boot_now();
     }
 }
 
--- a/proxy/endpoint_pool.h
+++ b/proxy/endpoint_pool.h
@@ -82,6 +82,8 @@
     [[nodiscard]] std::size_t waiting() const { return m_queue.size(); }
     [[nodiscard]] duration mean_time() const { return m_queue.mean_time(); }
     [[nodiscard]] const std::optional<log_point>& point() const { return m_point; }
+    /// When `point` was received.
+    [[nodiscard]] instant point_at() const { return m_point_at; }
     [[nodiscard]] std::uint32_t connections() const { return m_connections.size(); }
     /// Statements that may run at once from this daemon.
     [[nodiscard]] std::uint32_t window() const;
@@ -120,6 +122,7 @@
     std::map<std::uint64_t, waiter_ptr> m_waiters;
     endpoint_health m_health;
     std::optional<log_point> m_point;
+    instant m_point_at;
     std::uint32_t m_running = 0;
     std::uint64_t m_next_number = 1;
     bool m_retired = false;
--- a/proxy/failover_agent.cc
+++ b/proxy/failover_agent.cc
@@ -113,9 +113,9 @@
 
 std::size_t failover_agent::hosts_without(const endpoint_id& endpoint) const {
     const auto& hosts = m_sync.records().hosts();
-    const auto live = m_sync.records().live_hosts(boot_now());
+    const auto voters = m_sync.records().voting_hosts(boot_now());
     return static_cast<std::size_t>(
-        std::count_if(live.begin(), live.end(), [&](const host_id& host) {
+        std::count_if(voters.begin(), voters.end(), [&](const host_id& host) {
             const auto* const told = m_peers.unreachable_from(host);
             const auto& unreachable = told != nullptr ? *told : hosts.at(host).unreachable;
             return unreachable.contains(endpoint);
@@ -124,7 +124,7 @@
 
 primary_health failover_agent::health_of(const group_id& group, const endpoint_id& primary) const {
     primary_health health;
-    health.hosts = m_sync.records().live_hosts(boot_now()).size();
+    health.hosts = m_sync.records().voting_hosts(boot_now()).size();
     health.hosts_without_primary = hosts_without(primary);
     const auto pool = m_fleet.pool(primary);
     // While no endpoint of the group is listed, the list is not known yet.
@@ -142,8 +142,8 @@
         return XXH64(text.data(), text.size(), 0);
     };
     const auto own = weight(m_self);
-    const auto live = m_sync.records().live_hosts(boot_now());
-    const auto before = std::count_if(live.begin(), live.end(),
+    const auto voters = m_sync.records().voting_hosts(boot_now());
+    const auto before = std::count_if(voters.begin(), voters.end(),
                                       [&](const host_id& host) { return weight(host) < own; });
     return rank_delay * static_cast<double>(before);
 }
@@ -178,8 +178,9 @@
 }
 
 std::vector<successor_candidate> failover_agent::ask_candidates(const group_id& group,
-                                                                const endpoint_id& old_primary,
+                                                                const group_record& record,
                                                                 term_number& term) const {
+    const endpoint_id& old_primary = record.primary;
     const auto old_pool = m_fleet.pool(old_primary);
     std::vector<successor_candidate> candidates;
     for (const auto& pool : m_fleet.pools(group)) {
@@ -191,6 +192,16 @@
         if (!status) {
             continue;
         }
+        if (has_diverged(status->received, record.term, record.taken_over_at)) {
+            log_line{log_class::change, "successor_diverged"}
+                .with("group", group)
+                .with("endpoint", endpoint.entry.id)
+                .with("log_term", status->received.term)
+                .with("log_position", status->received.position)
+                .with("primary_term", record.term)
+                .write();
+            continue;
+        }
         term = std::max(term, status->term);
         successor_candidate candidate;
         candidate.id = endpoint.entry.id;
@@ -249,9 +260,9 @@
     // A daemon that began before this one may have promoted already.
     current.may_be_promoted = known->phase == leadership_phase::changing;
     const revision_number before = known->revision;
-    const auto candidates = ask_candidates(group, known->primary, current.term);
+    const auto candidates = ask_candidates(group, current.record, current.term);
     const auto chosen =
-        choose_successor(candidates, m_sync.records().live_hosts(boot_now()).size());
+        choose_successor(candidates, m_sync.records().voting_hosts(boot_now()).size());
     if (!chosen) {
         log_step(current, "choose_successor", "none_reachable");
         return std::nullopt;
@@ -305,6 +316,7 @@
         const auto status = ask_status(current->record.successor);
         if (status && status->role == endpoint_role::primary) {
             current->term = status->term;
+            current->taken_over_at = status->received;
             return finish(*current, current->record.successor);
         }
     }
@@ -408,6 +420,8 @@
         const auto status = ask_status(current.record.successor);
         if (status && status->role == endpoint_role::primary) {
             current.term = status->term;
+            // Nobody writes before the record names the new primary.
+            current.taken_over_at = status->received;
             return true;
         }
         pause(poll_interval);
@@ -422,6 +436,9 @@
     record.primary = primary;
     record.successor = endpoint_id{};
     record.term = current.term;
+    if (current.taken_over_at) {
+        record.taken_over_at = *current.taken_over_at;
+    }
     const bool written = write_record(current, record);
     log_step(current, "finish", written ? "written" : "not_written");
     return written;
--- a/proxy/failover_agent.h
+++ b/proxy/failover_agent.h
@@ -32,7 +32,8 @@
         group_id group;
         group_record record;  ///< As written by this daemon.
         endpoint_id old_primary;
-        term_number term = 0;  ///< Highest term seen at the group's endpoints.
+        term_number term = 0;                    ///< Highest term seen at the group's endpoints.
+        std::optional<log_point> taken_over_at;  ///< End of the successor's log.
         replacement kind = replacement::none;
         instant marked;                               ///< When the mark was sent to the store.
         instant mark_seen;                            ///< When the store had confirmed it.
@@ -54,7 +55,7 @@
     void note_hosts(replacement_run& current);
     std::optional<replacement_run> mark(const group_id& group, replacement kind);
     std::vector<successor_candidate> ask_candidates(const group_id& group,
-                                                    const endpoint_id& old_primary,
+                                                    const group_record& record,
                                                     term_number& term) const;
     std::optional<platform::endpoint_status> ask_status(const endpoint_id& endpoint) const;
     std::optional<platform::endpoint_status> command(const endpoint_id& endpoint,
--- a/proxy/own_records.cc
+++ b/proxy/own_records.cc
@@ -66,7 +66,9 @@
                                         {"primary", record.primary.str()},
                                         {"successor", record.successor.str()},
                                         {"changed_by", record.changed_by.str()},
-                                        {"term", record.term}});
+                                        {"term", record.term},
+                                        {"taken_over_term", record.taken_over_at.term},
+                                        {"taken_over_position", record.taken_over_at.position}});
 }
 
 std::optional<group_record> decode_group_record(std::string_view text) {
@@ -79,7 +81,11 @@
     const auto successor = text_of(*object, "successor");
     const auto changed_by = text_of(*object, "changed_by");
     const auto term = number_of(*object, "term");
-    if (!phase || !primary || !successor || !changed_by || !term) {
+    const auto taken_over_term = number_of(*object, "taken_over_term");
+    const auto taken_over_position = number_of(*object, "taken_over_position");
+    const bool complete = phase && primary && successor && changed_by && term && taken_over_term &&
+                          taken_over_position;
+    if (!complete) {
         return std::nullopt;
     }
     group_record record;
@@ -88,6 +94,7 @@
     record.successor = endpoint_id{*successor};
     record.changed_by = host_id{*changed_by};
     record.term = *term;
+    record.taken_over_at = {*taken_over_term, *taken_over_position};
     return record;
 }
 
--- a/proxy/record_mirror.cc
+++ b/proxy/record_mirror.cc
@@ -18,6 +18,8 @@
 constexpr std::size_t most_deletions = 1000;
 // A lease may end early by mistake, and is then granted again.
 constexpr duration alive_grace = 300_ms;
+// A host that was cut off needs this time to find out what it can reach again.
+constexpr duration settle_time = 1_s;
 constexpr duration written_grace = 1500_ms;
 
 }  // namespace
@@ -151,11 +153,21 @@
 }
 
 void record_mirror::apply_alive(const host_id& host, bool is_alive) {
-    if (is_alive) {
-        m_alive[host].reset();
-    } else {
-        m_alive[host] = boot_now();
+    const auto known = m_alive.find(host);
+    const bool was_alive = known != m_alive.end() && !known->second;
+    if (is_alive && !was_alive) {
+        m_alive_since[host] = boot_now();
     }
+    m_alive[host] = is_alive ? std::nullopt : std::optional{boot_now()};
+}
+
+std::set<host_id> record_mirror::voting_hosts(instant now) const {
+    std::set<host_id> voting = live_hosts(now);
+    std::erase_if(voting, [this, now](const host_id& host) {
+        const auto since = m_alive_since.find(host);
+        return since == m_alive_since.end() || since->second + settle_time > now;
+    });
+    return voting;
 }
 
 revision_number record_mirror::host_revision(const host_id& host) const {
--- a/proxy/record_mirror.h
+++ b/proxy/record_mirror.h
@@ -39,6 +39,8 @@
     [[nodiscard]] revision_number host_revision(const host_id& host) const;
     /// Registered hosts that renew their lease, or stopped only a moment ago.
     [[nodiscard]] std::set<host_id> live_hosts(instant now) const;
+    /// Live hosts whose view of the endpoints counts: they have renewed their lease for a while.
+    [[nodiscard]] std::set<host_id> voting_hosts(instant now) const;
     /// Revision up to which the host has stopped using replaced primaries of the group.
     [[nodiscard]] revision_number stopped(const group_id& group, const host_id& host) const;
     void note_stopped(const group_id& group, const host_id& host, revision_number revision);
@@ -63,8 +65,9 @@
     daemon::metrics& m_counters;
     std::map<std::string, known_item> m_items;
     std::map<host_id, host_record> m_hosts;
-    std::map<host_id, instant> m_host_written;             ///< When its record last changed.
-    std::map<host_id, std::optional<instant>> m_alive;     ///< With the end of the lease.
+    std::map<host_id, instant> m_host_written;          ///< When its record last changed.
+    std::map<host_id, std::optional<instant>> m_alive;  ///< With the end of the lease.
+    std::map<host_id, instant> m_alive_since;
     std::map<host_id, instant> m_departed;                 ///< Hosts that are no longer registered.
     std::map<endpoint_id, instant> m_lapsed;               ///< Endpoints without an entry.
     std::map<std::string, revision_number> m_stopped_use;  ///< By key.
--- a/proxy/statement_router.cc
+++ b/proxy/statement_router.cc
@@ -97,7 +97,8 @@
         candidate.waiting = pool->waiting();
         candidate.mean_time = pool->mean_time();
         candidate.point = pool->point();
-        candidate.lag = pool->point() ? bounds.lag(*pool->point(), now) : duration{};
+        candidate.lag = pool->point() ? bounds.lag(*pool->point(), pool->point_at()) : duration{};
+        candidate.answer_age = now - pool->point_at();
         candidates.push_back(candidate);
     }
     const auto chosen =
--- a/src/primary_replacement.cc
+++ b/src/primary_replacement.cc
@@ -16,6 +16,13 @@
     return health.is_leaving ? replacement::planned : replacement::none;
 }
 
+/// An endpoint that was cut off together with an earlier primary may not have heard of the present
+/// one. Its log is longer than the common part; as a successor it would bring back commits that
+/// callers have seen missing, and drop later ones.
+bool has_diverged(const log_point& received, term_number term, const log_point& taken_over_at) {
+    return received.term < term && received > taken_over_at;
+}
+
 std::optional<std::size_t> choose_successor(std::span<const successor_candidate> candidates,
                                             std::size_t hosts) {
     const auto rank = [hosts](const successor_candidate& candidate) {
--- a/src/read_bounds.cc
+++ b/src/read_bounds.cc
@@ -60,7 +60,7 @@
 duration read_bounds::lag(const log_point& point, instant now) const {
     const auto above = std::partition_point(m_marks.begin(), m_marks.end(),
                                             [&point](const auto& m) { return m.point <= point; });
-    return above == m_marks.end() ? duration{} : now - above->sent;
+    return above == m_marks.end() ? duration{} : std::max(now - above->sent, duration{});
 }
 
 }  // namespace jasminelead
--- a/src/read_selector.cc
+++ b/src/read_selector.cc
@@ -12,6 +12,8 @@
 // One refused attempt and the round trip of the next one.
 constexpr duration behind_cost = 25_ms;
 constexpr duration assumed_time = 15_ms;
+// An answer tells for so long how far an endpoint is behind.
+constexpr duration point_trust = 200_ms;
 
 bool is_likely_behind(const read_candidate& candidate, const read_need& need) {
     if (candidate.is_primary || (candidate.point && *candidate.point >= *need.after)) {
@@ -20,6 +22,13 @@
     return candidate.lag >= need.point_age;
 }
 
+/// Load pattern: replicas fall seconds behind, and every read would meet each of them first.
+bool is_surely_behind(const read_candidate& candidate, const read_need& need) {
+    const bool is_known = candidate.answer_age < point_trust;
+    return is_known && is_likely_behind(candidate, need) &&
+           candidate.lag > need.point_age + point_trust;
+}
+
 duration cost(const read_candidate& candidate, const read_need& need) {
     const duration mean = candidate.mean_time > duration{} ? candidate.mean_time : assumed_time;
     const double ahead = static_cast<double>(candidate.running + candidate.waiting);
@@ -48,6 +57,9 @@
         if (!candidate.is_reachable || candidate.is_excluded || !can_answer) {
             continue;
         }
+        if (need.after && is_surely_behind(candidate, need)) {
+            continue;
+        }
         const duration candidate_cost = cost(candidate, need);
         if (!best || candidate_cost < best_cost) {
             best = i;
--- a/test/own_records_test.cc
+++ b/test/own_records_test.cc
@@ -15,6 +15,7 @@
     group.successor = endpoint_id{"b"};
     group.changed_by = host_id{"h1"};
     group.term = 4;
+    group.taken_over_at = {3, 120};
     CHECK(decode_group_record(encode_group_record(group)) == group);
     const host_record host{host_id{"h1"}, 17, "127.0.0.1:7400", {endpoint_id{"a"}}};
     CHECK(decode_host_record(encode_host_record(host)) == host);
--- a/test/primary_replacement_test.cc
+++ b/test/primary_replacement_test.cc
@@ -50,6 +50,19 @@
     CHECK(choose_successor(all, 6) == 1);
 }
 
+// Guards against commits that come back after callers have seen them missing. Load pattern: a
+// primary is cut off with one replica, another replica leads term 2 from 1.126 on, and the primary
+// of term 2 is lost when the cut has healed.
+TEST_CASE("a log that kept commits of an earlier primary has diverged") {
+    const log_point taken_over{1, 126};
+    CHECK(has_diverged({1, 142}, 2, taken_over));
+    CHECK_FALSE(has_diverged({1, 126}, 2, taken_over));
+    CHECK_FALSE(has_diverged({1, 100}, 2, taken_over));
+    CHECK_FALSE(has_diverged({2, 127}, 2, taken_over));
+    // Without a replacement there is only one history.
+    CHECK_FALSE(has_diverged({1, 142}, 0, {}));
+}
+
 // Guards against a successor that most hosts cannot reach, so that it is replaced again at once.
 TEST_CASE("a replica that most hosts have lost succeeds only as the last one") {
     const std::array all{candidate("a", 10, 0), candidate("b", 12, 4)};
--- a/test/read_selector_test.cc
+++ b/test/read_selector_test.cc
@@ -49,6 +49,20 @@
     CHECK(choose_read_endpoint(all, old_data) == 0);
 }
 
+// Load pattern: both replicas are seconds behind; without a local one the primary has to answer,
+// and a replica is asked again only after some time.
+TEST_CASE("replicas that are surely behind are left out until their answer is old") {
+    std::vector all{replica("a", true), replica("b", false)};
+    for (read_candidate& candidate : all) {
+        candidate.point = log_point{3, 80};
+        candidate.lag = 3_s;
+        candidate.answer_age = 50_ms;
+    }
+    CHECK_FALSE(choose_read_endpoint(all, old_data));
+    all[1].answer_age = 300_ms;
+    CHECK(choose_read_endpoint(all, old_data) == 1);
+}
+
 TEST_CASE("without a point only the primary answers") {
     std::vector all{primary("a", false), replica("b", true)};
     CHECK(choose_read_endpoint(all, {}) == 0);
