Let hosts that were cut off catch up before they replace primaries

Removed hosts were removed again while they lingered.

Change: a replacement needs the views of half of the registered hosts and a store that has answered for a second.

--- a/include/jasminelead/primary_lease.h
+++ b/include/jasminelead/primary_lease.h
@@ -23,7 +23,8 @@
     leadership_phase phase = leadership_phase::led;
     endpoint_id primary;
     endpoint_id successor;  ///< Set while changing.
-    host_id changed_by;     ///< Daemon that wrote the record.
+    host_id changed_by;     ///< Daemon that wrote the record, and which process of it.
+    incarnation_number changed_by_incarnation = 0;
     term_number term = 0;     ///< In which the primary leads; 0 while it was never replaced.
     log_point taken_over_at;  ///< End of the primary's log when it took over.
     bool operator==(const group_record&) const = default;
--- a/include/jasminelead/primary_replacement.h
+++ b/include/jasminelead/primary_replacement.h
@@ -10,9 +10,10 @@
 /// When a primary is replaced, and by which replica.
 namespace jasminelead {
 
-/// What is known of a group's primary. Hosts are the registered daemons.
+/// What is known of a group's primary. Hosts are daemons.
 struct primary_health {
-    std::size_t hosts = 0;
+    std::size_t registered = 0;
+    std::size_t hosts = 0;                  ///< Registered hosts whose view is up to date.
     std::size_t hosts_without_primary = 0;  ///< Hosts that cannot open a connection to it.
     bool is_listed = true;
     bool sees_itself_as_replica = false;  ///< For longer than its reports take.
--- a/proxy/failover_agent.cc
+++ b/proxy/failover_agent.cc
@@ -20,6 +20,8 @@
 // A replacement that was begun elsewhere and does not end is taken over after this time. It is
 // longer than `promotion_window`, so that the first daemon no longer promotes.
 constexpr duration takeover_delay = 5_s;
+// For a promotion that the process sent just before it ended.
+constexpr duration restart_delay = 300_ms;
 // A promotion is sent only within this time after its mark was sent to the store.
 constexpr duration promotion_window = 3500_ms;
 constexpr duration clock_margin = 50_ms;
@@ -95,7 +97,7 @@
     const instant since = m_due_since.emplace(key, now).first->second;
     duration patience = patience_of_rank(group);
     if (changing) {
-        patience = patience + takeover_delay;
+        patience = patience + (has_restarted(record) ? restart_delay : takeover_delay);
     } else if (only_by_role) {
         patience = patience + role_settle_time;
     }
@@ -122,8 +124,16 @@
         }));
 }
 
+/// True when the process that wrote the record is gone, so that it sends no promotion any more.
+bool failover_agent::has_restarted(const group_record& record) const {
+    const auto& hosts = m_sync.records().hosts();
+    const auto found = hosts.find(record.changed_by);
+    return found != hosts.end() && found->second.incarnation != record.changed_by_incarnation;
+}
+
 primary_health failover_agent::health_of(const group_id& group, const endpoint_id& primary) const {
     primary_health health;
+    health.registered = m_sync.records().hosts().size();
     health.hosts = m_sync.records().voting_hosts(boot_now()).size();
     health.hosts_without_primary = hosts_without(primary);
     const auto pool = m_fleet.pool(primary);
@@ -231,6 +241,7 @@
 
 bool failover_agent::write_record(replacement_run& current, group_record record) {
     record.changed_by = m_self;
+    record.changed_by_incarnation = m_sync.own_record().incarnation;
     platform::store_transaction transaction;
     transaction.conditions.push_back({group_key(current.group), current.record.revision});
     // A host that was removed from the registry is not asked by the others any more.
--- a/proxy/failover_agent.h
+++ b/proxy/failover_agent.h
@@ -47,6 +47,7 @@
     void check_groups();
     void check_group(const group_id& group, const group_record& record);
     primary_health health_of(const group_id& group, const endpoint_id& primary) const;
+    [[nodiscard]] bool has_restarted(const group_record& record) const;
     std::size_t hosts_without(const endpoint_id& endpoint) const;
     duration patience_of_rank(const group_id& group) const;
     void replace(const group_id& group, replacement kind);
--- a/proxy/own_records.cc
+++ b/proxy/own_records.cc
@@ -66,6 +66,7 @@
                                         {"primary", record.primary.str()},
                                         {"successor", record.successor.str()},
                                         {"changed_by", record.changed_by.str()},
+                                        {"incarnation", record.changed_by_incarnation},
                                         {"term", record.term},
                                         {"taken_over_term", record.taken_over_at.term},
                                         {"taken_over_position", record.taken_over_at.position}});
@@ -83,8 +84,9 @@
     const auto term = number_of(*object, "term");
     const auto taken_over_term = number_of(*object, "taken_over_term");
     const auto taken_over_position = number_of(*object, "taken_over_position");
-    const bool complete = phase && primary && successor && changed_by && term && taken_over_term &&
-                          taken_over_position;
+    const auto incarnation = number_of(*object, "incarnation");
+    const bool complete = incarnation && phase && primary && successor && changed_by && term &&
+                          taken_over_term && taken_over_position;
     if (!complete) {
         return std::nullopt;
     }
@@ -93,6 +95,7 @@
     record.primary = endpoint_id{*primary};
     record.successor = endpoint_id{*successor};
     record.changed_by = host_id{*changed_by};
+    record.changed_by_incarnation = *incarnation;
     record.term = *term;
     record.taken_over_at = {*taken_over_term, *taken_over_position};
     return record;
--- a/proxy/peer_sync.cc
+++ b/proxy/peer_sync.cc
@@ -80,7 +80,7 @@
         return live.contains(lost.first) || !hosts.contains(lost.first);
     });
     for (const auto& [host, record] : hosts) {
-        if (live.contains(host) || host == m_self) {
+        if (live.contains(host) || host == m_self || !m_sync.records().is_registered(host)) {
             continue;
         }
         const instant since = m_lost_since.emplace(host, now).first->second;
--- a/proxy/record_mirror.h
+++ b/proxy/record_mirror.h
@@ -37,6 +37,10 @@
     [[nodiscard]] const std::map<host_id, host_record>& hosts() const { return m_hosts; }
     /// Revision of the host's registration; 0 without one.
     [[nodiscard]] revision_number host_revision(const host_id& host) const;
+    /// False for a host whose registration was removed a moment ago.
+    [[nodiscard]] bool is_registered(const host_id& host) const {
+        return m_hosts.contains(host) && !m_departed.contains(host);
+    }
     /// Registered hosts that renew their lease, or stopped only a moment ago.
     [[nodiscard]] std::set<host_id> live_hosts(instant now) const;
     /// Live hosts whose view of the endpoints counts: they have renewed their lease for a while.
--- a/proxy/store_sync.cc
+++ b/proxy/store_sync.cc
@@ -26,6 +26,8 @@
 // A host that loses the store counts as lost after this time.
 constexpr std::uint32_t alive_ttl_ms = 1500;
 constexpr duration alive_interval = 500_ms;
+// A host that was cut off knows the others' views again after this time.
+constexpr duration catch_up_time = 1_s;
 constexpr duration publish_interval = 100_ms;
 // Statements in progress at a primary that is replaced get this time to end.
 constexpr duration statement_patience = 300_ms;
@@ -205,6 +207,9 @@
 }
 
 void store_sync::on_confirmed(instant sent) {
+    if (confirmed_age(sent) > m_fleet.lease.length()) {
+        m_steady_since = boot_now();
+    }
     m_confirmed = std::max(m_confirmed.value_or(sent), sent);
     if (!m_first_confirmed) {
         m_first_confirmed = boot_now();
@@ -231,8 +236,12 @@
 }
 
 bool store_sync::may_replace(instant now) const {
+    if (!m_first_confirmed || !m_steady_since) {
+        return false;
+    }
+    const bool is_steady = *m_steady_since + catch_up_time <= now;
     const duration wait = m_was_registered ? m_fleet.lease.length() : newcomer_patience;
-    return m_first_confirmed && *m_first_confirmed + wait <= now;
+    return is_steady && *m_first_confirmed + wait <= now;
 }
 
 duration store_sync::confirmed_age(instant now) const {
@@ -351,6 +360,7 @@
     group_record record;
     record.primary = primaries.front();
     record.changed_by = m_self;
+    record.changed_by_incarnation = m_own_record.incarnation;
     platform::store_transaction transaction;
     transaction.conditions.push_back({group_key(group), 0});
     transaction.updates.push_back(
--- a/proxy/store_sync.h
+++ b/proxy/store_sync.h
@@ -34,7 +34,8 @@
     [[nodiscard]] const host_record& own_record() const { return m_own_record; }
     /// Reads the fleet's records now; true when the store answered.
     bool confirm();
-    /// True when all hosts that may rely on primaries are known, and ask this one.
+    /// True when all hosts that may rely on primaries are known and ask this one, and their views
+    /// of the endpoints are up to date.
     [[nodiscard]] bool may_replace(instant now) const;
     /// Time since the store was last known to hold the records that are known here.
     [[nodiscard]] duration confirmed_age(instant now) const;
@@ -79,7 +80,8 @@
     std::optional<revision_number> m_watched;  ///< Changes up to here were received.
     std::optional<instant> m_behind_since;
     std::optional<instant> m_first_confirmed;
-    bool m_was_registered = false;  ///< By an earlier process of this host.
+    std::optional<instant> m_steady_since;  ///< The store has answered since then.
+    bool m_was_registered = false;          ///< By an earlier process of this host.
     std::optional<instant> m_confirmed;
     std::map<host_id, incarnation_number> m_confirmed_hosts;
     platform::lease_id m_lease = platform::no_lease;
--- a/src/primary_replacement.cc
+++ b/src/primary_replacement.cc
@@ -9,6 +9,10 @@
 /// A minority that is cut off must not take the primary from the majority that reaches it, and two
 /// halves must not take it from each other in turns.
 replacement decide_replacement(const primary_health& health) {
+    // A host that knows the views of a few only is more likely cut off itself.
+    if (health.hosts * 2 < health.registered) {
+        return replacement::none;
+    }
     if (!health.is_listed || health.sees_itself_as_replica ||
         is_majority(health.hosts_without_primary, health.hosts)) {
         return replacement::urgent;
--- a/test/own_records_test.cc
+++ b/test/own_records_test.cc
@@ -14,6 +14,7 @@
     group.primary = endpoint_id{"a"};
     group.successor = endpoint_id{"b"};
     group.changed_by = host_id{"h1"};
+    group.changed_by_incarnation = 17;
     group.term = 4;
     group.taken_over_at = {3, 120};
     CHECK(decode_group_record(encode_group_record(group)) == group);
--- a/test/primary_replacement_test.cc
+++ b/test/primary_replacement_test.cc
@@ -9,6 +9,7 @@
 
 primary_health healthy() {
     primary_health health;
+    health.registered = 6;
     health.hosts = 6;
     return health;
 }
@@ -29,6 +30,18 @@
     CHECK(decide_replacement(health) == replacement::urgent);
 }
 
+// Guards against a host that was cut off, comes back and replaces all primaries, because it knows
+// only its own view of them.
+TEST_CASE("the view of a few hosts does not replace a primary") {
+    primary_health health = healthy();
+    health.hosts = 1;
+    health.hosts_without_primary = 1;
+    CHECK(decide_replacement(health) == replacement::none);
+    health.hosts = 3;
+    health.hosts_without_primary = 2;
+    CHECK(decide_replacement(health) == replacement::urgent);
+}
+
 TEST_CASE("a primary that is gone or has stepped down is replaced") {
     primary_health health = healthy();
     health.is_listed = false;
