Split the statement router and measure statements

Change: attempts, reads and writes, and transactions have a source each; a connection for a read is found by one function for statements and transactions.

--- a/daemon/metrics.cc
+++ b/daemon/metrics.cc
@@ -33,6 +33,21 @@
     found->second->Increment();
 }
 
+void metrics::observe_seconds(std::string_view name, std::string_view label, double seconds) {
+    static const prometheus::Histogram::BucketBoundaries bounds{0.005, 0.01, 0.025, 0.05, 0.1,
+                                                                0.25,  0.5,  1,     2.5,  5};
+    const std::lock_guard lock{m_lock};
+    const std::pair<std::string_view, std::string_view> key{name, label};
+    auto found = m_histograms.find(key);
+    if (found == m_histograms.end()) {
+        const std::string full = "jasminelead_" + std::string{name} + "_seconds";
+        auto& family = prometheus::BuildHistogram().Name(full).Register(m_registry);
+        auto& created = family.Add({{"of", std::string{label}}}, bounds);
+        found = m_histograms.emplace(counter_key{name, label}, &created).first;
+    }
+    found->second->Observe(seconds);
+}
+
 double metrics::value(std::string_view counter, std::string_view label) const {
     const std::lock_guard lock{m_lock};
     const auto found =
--- a/daemon/metrics.h
+++ b/daemon/metrics.h
@@ -3,6 +3,7 @@
 #include <prometheus/counter.h>
 #include <prometheus/family.h>
 #include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 
 #include <map>
@@ -20,6 +21,8 @@
 
     /// Adds one to jasminelead_<counter>_total{reason=label}.
     void count(std::string_view counter, std::string_view label);
+    /// Adds to the histogram jasminelead_<name>_seconds{of=label}.
+    void observe_seconds(std::string_view name, std::string_view label, double seconds);
     [[nodiscard]] double value(std::string_view counter, std::string_view label) const;
     void add_connections(int change) { m_connections.Increment(change); }
     void add_requests_in_progress(int change) { m_in_progress.Increment(change); }
@@ -43,6 +46,7 @@
     prometheus::Gauge& m_memory;
     mutable std::mutex m_lock;
     std::map<counter_key, prometheus::Counter*, key_less> m_counters;
+    std::map<counter_key, prometheus::Histogram*, key_less> m_histograms;
 };
 
 /// Resident memory of this process in bytes; 0 when it cannot be read.
--- /dev/null
+++ b/proxy/statement_attempt.cc
@@ -0,0 +1,33 @@
+#include "proxy/statement_attempt.h"
+
+#include <algorithm>
+
+#include "proxy/clock.h"
+
+namespace jasminelead::proxy {
+namespace {
+
+using namespace literals;
+
+// An attempt after the goal has passed still gets this time to start.
+constexpr duration least_start_time = 50_ms;
+constexpr std::uint32_t highest_share = 4;
+
+std::uint32_t share_of(std::uint32_t priority) {
+    return std::max<std::uint32_t>(highest_share >> std::min<std::uint32_t>(priority, 2), 1);
+}
+
+}  // namespace
+
+bool statement_attempt::is_over() const {
+    return boot_now() >= give_up;
+}
+
+work_request statement_attempt::work() const {
+    const instant now = boot_now();
+    const instant goal = statement.arrived + route.latency_goal;
+    return {service_id{route.database}, share_of(route.priority),
+            std::max(goal, now + least_start_time), give_up};
+}
+
+}  // namespace jasminelead::proxy
--- a/proxy/statement_router.h
+++ b/proxy/statement_router.h
@@ -11,6 +11,7 @@
 #include "jasminelead/read_selector.h"
 #include "proxy/fleet_state.h"
 #include "proxy/session_data.h"
+#include "proxy/statement_attempt.h"
 #include "proxy/statement_exchange.h"
 
 /// Runs statements and transactions of sessions on the endpoints that may answer them.
@@ -54,31 +55,56 @@
     void roll_back(open_transaction& transaction);
 
 private:
-    struct attempt;
     struct primary_run {
         std::shared_ptr<endpoint_pool> pool;
         primary_permit permit;
         acquired_run run;
     };
 
+    /// A connection on which a read or a transaction may run.
+    struct reader_run {
+        std::shared_ptr<endpoint_pool> pool;
+        std::optional<primary_permit> permit;  ///< When the endpoint surely is the primary.
+        acquired_run run;
+    };
+
     statement_outcome run_read(session_data& session, const database_route& route,
                                const forwarded_statement& statement);
+    std::variant<reader_run, statement_outcome> acquire_reader(statement_attempt& current,
+                                                               const session_data& session);
+    void update_bound(statement_attempt& current, const session_data& session);
+    std::shared_ptr<endpoint_pool> choose_reader(statement_attempt& current);
+    std::optional<statement_outcome> wait_for_endpoint(statement_attempt& current);
+    std::optional<statement_outcome> try_read(statement_attempt& current,
+                                              const session_data& session, const reader_run& used);
+
     statement_outcome run_on_primary(session_data& session, const database_route& route,
                                      const forwarded_statement& statement);
-    std::variant<primary_run, statement_outcome> acquire_primary(attempt& current,
+    std::variant<primary_run, statement_outcome> acquire_primary(statement_attempt& current,
                                                                  bool needs_live_link);
-    std::variant<acquired_run, reason> acquire_read(attempt& current,
-                                                    const std::shared_ptr<endpoint_pool>& pool);
-    std::shared_ptr<endpoint_pool> choose_reader(attempt& current);
-    std::optional<statement_outcome> wait_for_endpoint(attempt& current);
     bool confirm(const group_id& group, const primary_permit& permit, instant give_up);
-    statement_outcome confirmed(attempt& current, const primary_run& used,
+    statement_outcome confirmed(statement_attempt& current, const primary_run& used,
                                 const endpoint_answer& answer);
+
+    std::variant<reader_run, statement_outcome> acquire_for_begin(statement_attempt& current,
+                                                                  const session_data& session,
+                                                                  bool any_endpoint);
+    std::variant<run_slot, reason> take_slot(open_transaction& transaction,
+                                             const statement_attempt& current);
+    statement_outcome abort(open_transaction& transaction, const statement_attempt& current,
+                            std::string_view counted, std::string_view text);
+    bool may_repeat(const statement_attempt& current, const endpoint_answer& answer);
+
+    statement_outcome refuse(const statement_attempt& current, std::string_view counted,
+                             std::string_view text);
+    void note_lost_answer(const statement_attempt& current, endpoint_pool& pool,
+                          const held_connection& connection, link_fault fault);
     void note_mark(const group_id& group, const std::optional<primary_permit>& permit, instant sent,
                    const endpoint_answer& answer);
     void note_write(session_data& session, const group_id& group, const primary_permit& permit,
                     const endpoint_answer& answer);
-    void log_attempt(const attempt& current, const endpoint_id& endpoint, std::string_view outcome);
+    void log_attempt(const statement_attempt& current, const endpoint_id& endpoint,
+                     std::string_view outcome);
 
     fleet_state& m_fleet;
     daemon::metrics& m_counters;
--- /dev/null
+++ b/proxy/statement_router_transactions.cc
@@ -0,0 +1,213 @@
+#include <boost/fiber/operations.hpp>
+
+#include "proxy/clock.h"
+#include "proxy/statement_router.h"
+
+namespace jasminelead::proxy {
+namespace {
+
+using namespace literals;
+
+constexpr duration rollback_timeout = 500_ms;
+
+}  // namespace
+
+std::variant<statement_router::reader_run, statement_outcome> statement_router::acquire_for_begin(
+    statement_attempt& current, const session_data& session, bool any_endpoint) {
+    if (any_endpoint) {
+        return acquire_reader(current, session);
+    }
+    auto acquired = acquire_primary(current, true);
+    if (auto* const refusal = std::get_if<statement_outcome>(&acquired)) {
+        return *refusal;
+    }
+    const primary_run& used = std::get<primary_run>(acquired);
+    return reader_run{used.pool, used.permit, used.run};
+}
+
+std::variant<open_transaction, statement_outcome> statement_router::begin(
+    session_data& session, const database_route& route, const forwarded_statement& first,
+    bool read_only) {
+    statement_attempt current{route, first};
+    const bool any_endpoint = read_only && route.policy != read_policy::primary;
+    forwarded_statement begin_query;
+    begin_query.id = platform::own_id();
+    begin_query.text = platform::begin_text(read_only);
+    for (;;) {
+        const auto acquired = acquire_for_begin(current, session, any_endpoint);
+        if (const auto* const refusal = std::get_if<statement_outcome>(&acquired)) {
+            return *refusal;
+        }
+        const reader_run& used = std::get<reader_run>(acquired);
+        ++current.tries;
+        const instant sent = boot_now();
+        const auto answer = run_statement(*used.run.connection.link, session, begin_query,
+                                          current.after, false, to_steady(current.give_up));
+        const auto* const received = std::get_if<endpoint_answer>(&answer);
+        if (received != nullptr && !received->fault) {
+            used.pool->on_answer(received->point);
+            note_mark(route.group, used.permit, sent, *received);
+            return open_transaction{used.pool, used.run.connection, used.permit, used.run.slot};
+        }
+        used.pool->finish(used.run.slot);
+        if (received == nullptr) {
+            note_lost_answer(current, *used.pool, used.run.connection,
+                             std::get<link_fault>(answer));
+        } else {
+            used.pool->give_back(used.run.connection, false);
+            m_counters.count("retries", to_string(*received->fault));
+            log_attempt(current, used.pool->endpoint().entry.id, to_string(*received->fault));
+        }
+        if (current.is_over()) {
+            return make_fault(statement_fault::busy, "the transaction could not begin; not run");
+        }
+        current.excluded.insert(used.pool->endpoint().entry.id);
+        if (!any_endpoint) {
+            boost::this_fiber::sleep_until(to_steady(boot_now() + retry_pause));
+        }
+    }
+}
+
+/// The slot that was left from the begin, or a new one.
+std::variant<run_slot, reason> statement_router::take_slot(open_transaction& transaction,
+                                                           const statement_attempt& current) {
+    if (transaction.slot) {
+        const run_slot slot = *transaction.slot;
+        transaction.slot.reset();
+        return slot;
+    }
+    return transaction.pool->acquire_slot(current.work());
+}
+
+statement_outcome statement_router::abort(open_transaction& transaction,
+                                          const statement_attempt& current,
+                                          std::string_view counted, std::string_view text) {
+    m_counters.count("aborted_transactions", counted);
+    log_attempt(current, transaction.pool->endpoint().entry.id, counted);
+    roll_back(transaction);
+    return make_fault(statement_fault::aborted, text);
+}
+
+/// True when the endpoint did not run the statement and may do so in a moment.
+bool statement_router::may_repeat(const statement_attempt& current, const endpoint_answer& answer) {
+    const bool again = answer.state == transaction_state::open && excludes_run(*answer.fault) &&
+                       *answer.fault != statement_fault::read_only && !current.is_over();
+    if (again) {
+        m_counters.count("retries", to_string(*answer.fault));
+        boost::this_fiber::sleep_until(to_steady(boot_now() + retry_pause));
+    }
+    return again;
+}
+
+statement_router::step_outcome statement_router::step(open_transaction& transaction,
+                                                      session_data& session,
+                                                      const database_route& route,
+                                                      const forwarded_statement& statement) {
+    statement_attempt current{route, statement};
+    const endpoint_id endpoint = transaction.pool->endpoint().entry.id;
+    for (;;) {
+        const auto slot = take_slot(transaction, current);
+        if (const auto* const why = std::get_if<reason>(&slot)) {
+            return {abort(transaction, current, to_string(*why), "no turn in time; rolled back"),
+                    false};
+        }
+        ++current.tries;
+        const auto answer = run_statement(*transaction.connection.link, session, statement,
+                                          std::nullopt, true, to_steady(current.give_up));
+        transaction.pool->finish(std::get<run_slot>(slot));
+        if (const auto* const fault = std::get_if<link_fault>(&answer)) {
+            note_lost_answer(current, *transaction.pool, transaction.connection, *fault);
+            m_counters.count("aborted_transactions", to_string(*fault));
+            return {make_fault(statement_fault::aborted, "the connection was lost; rolled back"),
+                    false};
+        }
+        const auto& received = std::get<endpoint_answer>(answer);
+        transaction.pool->on_answer(received.point);
+        if (!received.fault) {
+            transaction.wrote = transaction.wrote || statement.kind == access::write;
+            log_attempt(current, endpoint, "done");
+            return {{std::nullopt, {}, received.rows, received.signature}, true};
+        }
+        log_attempt(current, endpoint, to_string(*received.fault));
+        if (may_repeat(current, received)) {
+            continue;
+        }
+        m_counters.count("aborted_transactions", to_string(*received.fault));
+        roll_back(transaction);
+        // A transaction that is rolled back keeps nothing, whatever the statement did.
+        return {make_fault(statement_fault::aborted, received.fault_text), false};
+    }
+}
+
+statement_outcome statement_router::commit(open_transaction& transaction, session_data& session,
+                                           const database_route& route,
+                                           const forwarded_statement& statement) {
+    statement_attempt current{route, statement};
+    const endpoint_id endpoint = transaction.pool->endpoint().entry.id;
+    const bool must_lead = transaction.wrote && transaction.permit;
+    for (;;) {
+        if (must_lead && !confirm(route.group, *transaction.permit, current.give_up)) {
+            return abort(transaction, current, "primary_replaced",
+                         "the primary was replaced; rolled back");
+        }
+        const auto slot = take_slot(transaction, current);
+        if (const auto* const why = std::get_if<reason>(&slot)) {
+            return abort(transaction, current, to_string(*why), "no turn in time; rolled back");
+        }
+        ++current.tries;
+        const instant sent = boot_now();
+        const auto answer = run_statement(*transaction.connection.link, session, statement,
+                                          std::nullopt, true, to_steady(current.give_up));
+        transaction.pool->finish(std::get<run_slot>(slot));
+        if (const auto* const fault = std::get_if<link_fault>(&answer)) {
+            note_lost_answer(current, *transaction.pool, transaction.connection, *fault);
+            if (!transaction.wrote) {
+                return make_fault(statement_fault::aborted, "the connection was lost");
+            }
+            m_counters.count("unknown_outcomes", to_string(*fault));
+            return make_fault(statement_fault::unknown_outcome, "the answer was lost");
+        }
+        const auto& received = std::get<endpoint_answer>(answer);
+        transaction.pool->on_answer(received.point);
+        if (!received.fault) {
+            transaction.pool->give_back(transaction.connection,
+                                        received.state == transaction_state::idle);
+            note_mark(route.group, transaction.permit, sent, received);
+            if (transaction.wrote) {
+                note_write(session, route.group, *transaction.permit, received);
+            }
+            if (must_lead && !confirm(route.group, *transaction.permit, current.give_up)) {
+                m_counters.count("unknown_outcomes", "unconfirmed");
+                log_attempt(current, endpoint, "unconfirmed");
+                return make_fault(statement_fault::unknown_outcome,
+                                  "the primary may have been replaced");
+            }
+            log_attempt(current, endpoint, "committed");
+            return {std::nullopt, {}, received.rows, received.signature};
+        }
+        log_attempt(current, endpoint, to_string(*received.fault));
+        if (may_repeat(current, received)) {
+            continue;
+        }
+        const bool not_run = excludes_run(*received.fault);
+        roll_back(transaction);
+        return make_fault(not_run ? statement_fault::aborted : *received.fault,
+                          received.fault_text);
+    }
+}
+
+void statement_router::roll_back(open_transaction& transaction) {
+    if (transaction.slot) {
+        transaction.pool->finish(*transaction.slot);
+        transaction.slot.reset();
+    }
+    std::string query;
+    platform::encode_query(query, platform::own_id(), platform::rollback_text());
+    const auto answer =
+        transaction.connection.link->exchange(query, to_steady(boot_now() + rollback_timeout));
+    const auto* const received = std::get_if<endpoint_answer>(&answer);
+    const bool clean = received != nullptr && received->state == transaction_state::idle;
+    transaction.pool->give_back(transaction.connection, clean);
+}
+
+}  // namespace jasminelead::proxy
