--- a/include/jasminelead/endpoint_health.h
+++ b/include/jasminelead/endpoint_health.h
@@ -11,11 +11,9 @@
 class endpoint_health {
 public:
     /// A complete answer arrived.
-    void on_answer(instant now);
+    void on_answer();
     /// A new connection could not be opened.
     void on_connect_failed(instant now);
-    /// An answer did not come, or the connection that it was expected on was lost.
-    void on_answer_missing(instant now);
 
     [[nodiscard]] bool is_reachable() const { return !m_unreachable_since; }
     /// Since when no connection could be opened; nothing while it is reachable.
@@ -23,14 +21,11 @@
     /// When the next connection may be tried.
     [[nodiscard]] instant retry_at() const { return m_retry_at; }
     [[nodiscard]] std::uint32_t failures() const { return m_failures; }
-    /// A connection should be tried, to tell a lost connection from a lost endpoint.
-    [[nodiscard]] bool is_doubtful() const { return m_doubtful; }
 
 private:
     std::optional<instant> m_unreachable_since;
     instant m_retry_at;
     std::uint32_t m_failures = 0;
-    bool m_doubtful = false;
 };
 
 }  // namespace jasminelead
--- a/proxy/endpoint_pool.cc
+++ b/proxy/endpoint_pool.cc
@@ -257,7 +257,7 @@
             .write();
         m_changed.notify_all();
     }
-    m_health.on_answer(boot_now());
+    m_health.on_answer();
     m_quiet_since = boot_now();
     if (point) {
         m_point = point;
@@ -266,7 +266,6 @@
 }
 
 void endpoint_pool::on_answer_missing() {
-    m_health.on_answer_missing(boot_now());
     if (m_connections.opening() == 0 && !m_retired) {
         open_one();
     }
--- a/proxy/settings.cc
+++ b/proxy/settings.cc
@@ -25,9 +25,9 @@
         }
         return node.Scalar();
     }
-    std::string text_or(const char* name, std::string missing) {
+    std::string text_or(const char* name, const char* missing) {
         const YAML::Node node = find(name);
-        return node && node.IsScalar() ? node.Scalar() : std::move(missing);
+        return node && node.IsScalar() ? node.Scalar() : std::string{missing};
     }
     std::string address(const char* name) {
         std::string value = text(name);
--- a/src/endpoint_health.cc
+++ b/src/endpoint_health.cc
@@ -13,10 +13,9 @@
 
 }  // namespace
 
-void endpoint_health::on_answer(instant) {
+void endpoint_health::on_answer() {
     m_unreachable_since.reset();
     m_failures = 0;
-    m_doubtful = false;
 }
 
 void endpoint_health::on_connect_failed(instant now) {
@@ -26,11 +25,6 @@
     const std::uint32_t doublings = std::min(m_failures, most_doublings);
     m_retry_at = now + std::min(first_retry * static_cast<double>(1U << doublings), longest_retry);
     ++m_failures;
-    m_doubtful = false;
-}
-
-void endpoint_health::on_answer_missing(instant) {
-    m_doubtful = true;
 }
 
 }  // namespace jasminelead
--- a/support/session_endpoint.cc
+++ b/support/session_endpoint.cc
@@ -123,7 +123,7 @@
     return verb == "QUERY" ? run(open, id, text) : std::string{};
 }
 
-std::string session_endpoint::run(session& open, const std::string& id, std::string text) {
+std::string session_endpoint::run(session& open, const std::string& id, const std::string& text) {
     std::istringstream words{text};
     std::string verb;
     words >> verb;
--- a/support/session_endpoint.h
+++ b/support/session_endpoint.h
@@ -64,7 +64,7 @@
     void serve(boost::asio::ip::tcp::socket& socket);
     /// The answer to one line; empty closes the connection.
     std::string answer(session& open, const std::string& line);
-    std::string run(session& open, const std::string& id, std::string text);
+    std::string run(session& open, const std::string& id, const std::string& text);
     std::string run_item(session& open, const std::string& verb, const std::string& item,
                          const std::string& data);
     std::string commit(session& open);
--- a/test/endpoint_health_test.cc
+++ b/test/endpoint_health_test.cc
@@ -12,7 +12,7 @@
     health.on_connect_failed(start);
     health.on_connect_failed(start + 1_s);
     CHECK(health.unreachable_since() == start);
-    health.on_answer(start + 2_s);
+    health.on_answer();
     CHECK(health.is_reachable());
     CHECK(health.failures() == 0);
 }
