--- a/test/read_bounds_test.cc
+++ b/test/read_bounds_test.cc
@@ -11,9 +11,8 @@
 
 read_bounds marks_every_100_ms() {
     read_bounds bounds;
-    for (int i = 0; i <= 20; ++i) {
-        const auto position = static_cast<log_position>(100 + i);
-        bounds.record({start + 100_ms * i, {3, position}, 7});
+    for (log_position i = 0; i <= 20; ++i) {
+        bounds.record({start + 100_ms * static_cast<double>(i), {3, 100 + i}, 7});
     }
     return bounds;
 }
