--- a/daemon/http_pool.cc
+++ b/daemon/http_pool.cc
@@ -1,11 +1,14 @@
 #include "http_pool.h"
 
+#include <algorithm>
 #include <utility>
 
+#include "clock.h"
+
 namespace jasminelead::daemon {
 
-http_pool::http_pool(boost::asio::io_context& io, std::size_t most_idle)
-    : m_io{io}, m_most_idle{most_idle} {}
+http_pool::http_pool(boost::asio::io_context& io, std::size_t most_idle, duration longest_idle)
+    : m_io{io}, m_most_idle{most_idle}, m_longest_idle{longest_idle} {}
 
 std::variant<http_response, endpoint_error> http_pool::call(const http_call& request) {
     if (m_closed) {
@@ -17,7 +20,7 @@
     if (!reused) {
         client = std::make_shared<http_client>(m_io);
     }
-    m_busy.insert(client);
+    m_busy.emplace(client, address);
     answer result = exchange(client, request, reused);
     m_busy.erase(client);
     const auto* const error = std::get_if<endpoint_error>(&result);
@@ -37,10 +40,14 @@
 http_pool::answer http_pool::exchange(const client_ptr& client, const http_call& request,
                                       bool reused) {
     if (!reused) {
-        if (const auto error = client->connect(request.address, request.deadline)) {
+        const steady_time deadline = std::min(request.deadline, request.connect_deadline);
+        if (const auto error = client->connect(request.address, deadline)) {
             return *error;
         }
     }
+    if (request.sent != nullptr) {
+        *request.sent = true;
+    }
     return client->exchange(request.method, request.target, request.body, request.deadline,
                             request.headers);
 }
@@ -48,10 +55,11 @@
 http_pool::client_ptr http_pool::take_idle(const std::string& address) {
     auto& idle = m_idle[address];
     while (!idle.empty()) {
-        client_ptr client = std::move(idle.back());
+        const idle_client last = std::move(idle.back());
         idle.pop_back();
-        if (client->is_usable()) {
-            return client;
+        const bool is_recent = boot_now() - last.since < m_longest_idle;
+        if (is_recent && last.client->is_usable()) {
+            return last.client;
         }
     }
     return nullptr;
@@ -60,14 +68,26 @@
 void http_pool::keep(const std::string& address, client_ptr client) {
     auto& idle = m_idle[address];
     if (!m_closed && idle.size() < m_most_idle && client->is_usable()) {
-        idle.push_back(std::move(client));
+        idle.push_back({std::move(client), boot_now()});
+    }
+}
+
+void http_pool::abort(std::string_view address) {
+    const auto idle = m_idle.find(address);
+    if (idle != m_idle.end()) {
+        m_idle.erase(idle);
+    }
+    for (const auto& [client, called] : m_busy) {
+        if (called == address) {
+            client->close();
+        }
     }
 }
 
 void http_pool::close() {
     m_closed = true;
     m_idle.clear();
-    for (const client_ptr& client : m_busy) {
+    for (const auto& [client, address] : m_busy) {
         client->close();
     }
 }
--- a/daemon/http_pool.h
+++ b/daemon/http_pool.h
@@ -3,7 +3,6 @@
 #include <boost/asio/io_context.hpp>
 #include <map>
 #include <memory>
-#include <set>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -19,32 +18,44 @@
     std::string_view target;
     std::string_view body;
     steady_time deadline;
+    steady_time connect_deadline = no_deadline;  ///< Of a new connection, when it is earlier.
     bool new_connection = false;
     std::span<const http_header> headers;
     bool repeatable = false;  ///< Tried again when a reused connection turns out to be closed.
+    bool* sent = nullptr;     ///< Set when the request may have reached the other side.
 };
 
 /// Keeps idle HTTP connections for reuse. Belongs to one thread.
 class http_pool {
 public:
-    http_pool(boost::asio::io_context& io, std::size_t most_idle);
+    /// Connections that were idle for `longest_idle` are not used again.
+    http_pool(boost::asio::io_context& io, std::size_t most_idle,
+              duration longest_idle = duration::max());
 
     /// Suspends the calling fiber.
     std::variant<http_response, endpoint_error> call(const http_call& request);
+    /// Ends the calls in progress to the address with `endpoint_error::reset`, and closes its idle
+    /// connections.
+    void abort(std::string_view address);
     /// Closes all connections; calls in progress end with an error.
     void close();
 
 private:
     using client_ptr = std::shared_ptr<http_client>;
     using answer = std::variant<http_response, endpoint_error>;
+    struct idle_client {
+        client_ptr client;
+        instant since;
+    };
     client_ptr take_idle(const std::string& address);
     answer exchange(const client_ptr& client, const http_call& request, bool reused);
     void keep(const std::string& address, client_ptr client);
 
     boost::asio::io_context& m_io;
     std::size_t m_most_idle;
-    std::map<std::string, std::vector<client_ptr>> m_idle;
-    std::set<client_ptr> m_busy;
+    duration m_longest_idle;
+    std::map<std::string, std::vector<idle_client>, std::less<>> m_idle;
+    std::map<client_ptr, std::string> m_busy;  ///< With the address.
     bool m_closed = false;
 };
 
--- a/include/jasminelead/connection_share.h
+++ b/include/jasminelead/connection_share.h
@@ -13,6 +13,7 @@
 
 class connection_share {
 public:
+    /// `hosts` share the connections; 0 when this one is not among them and keeps none.
     void set_limit(std::uint32_t max_connections, std::uint32_t hosts);
 
     /// The endpoint refused one more connection while this daemon had `open` ones.
--- a/include/jasminelead/primary_replacement.h
+++ b/include/jasminelead/primary_replacement.h
@@ -13,8 +13,10 @@
 /// What is known of a group's primary. Hosts are daemons.
 struct primary_health {
     std::size_t registered = 0;
-    std::size_t hosts = 0;                  ///< Registered hosts whose view is up to date.
-    std::size_t hosts_without_primary = 0;  ///< Hosts that cannot open a connection to it.
+    std::size_t hosts = 0;                   ///< Registered hosts whose view is up to date.
+    std::size_t gateways = 0;                ///< Hosts that connect to the group's endpoints.
+    std::size_t voters = 0;                  ///< Gateways whose view is up to date.
+    std::size_t voters_without_primary = 0;  ///< Voters that cannot open a connection to it.
     bool is_listed = true;
     bool sees_itself_as_replica = false;  ///< For longer than its reports take.
     bool is_leaving = false;
--- a/include/jasminelead/statement_fault.h
+++ b/include/jasminelead/statement_fault.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <string_view>
 
 /// Why a statement has no successful answer, as endpoints and callers are told.
@@ -23,6 +24,7 @@
 };
 
 std::string_view to_string(statement_fault fault);
+std::optional<statement_fault> statement_fault_from_string(std::string_view name);
 /// True for the answers of an endpoint that exclude a run.
 bool excludes_run(statement_fault fault);
 
--- a/proxy/failover_agent.cc
+++ b/proxy/failover_agent.cc
@@ -113,11 +113,24 @@
     });
 }
 
-std::size_t failover_agent::hosts_without(const endpoint_id& endpoint) const {
+/// Hosts that are no gateway of the group have no connections that could fail.
+std::set<host_id> failover_agent::voters(const group_id& group) const {
+    const auto voting = m_sync.records().voting_hosts(boot_now());
+    std::set<host_id> result;
+    for (const host_id& host : m_fleet.gateways(group)) {
+        if (voting.contains(host)) {
+            result.insert(host);
+        }
+    }
+    return result;
+}
+
+std::size_t failover_agent::hosts_without(const group_id& group,
+                                          const endpoint_id& endpoint) const {
     const auto& hosts = m_sync.records().hosts();
-    const auto voters = m_sync.records().voting_hosts(boot_now());
+    const auto asked = voters(group);
     return static_cast<std::size_t>(
-        std::count_if(voters.begin(), voters.end(), [&](const host_id& host) {
+        std::count_if(asked.begin(), asked.end(), [&](const host_id& host) {
             const auto* const told = m_peers.unreachable_from(host);
             const auto& unreachable = told != nullptr ? *told : hosts.at(host).unreachable;
             return unreachable.contains(endpoint);
@@ -135,7 +148,9 @@
     primary_health health;
     health.registered = m_sync.records().hosts().size();
     health.hosts = m_sync.records().voting_hosts(boot_now()).size();
-    health.hosts_without_primary = hosts_without(primary);
+    health.gateways = m_fleet.gateways(group).size();
+    health.voters = voters(group).size();
+    health.voters_without_primary = hosts_without(group, primary);
     const auto pool = m_fleet.pool(primary);
     // While no endpoint of the group is listed, the list is not known yet.
     health.is_listed = pool != nullptr || m_fleet.pools(group).empty();
@@ -216,7 +231,7 @@
         successor_candidate candidate;
         candidate.id = endpoint.entry.id;
         candidate.received = status->received;
-        candidate.hosts_without = hosts_without(candidate.id);
+        candidate.hosts_without = hosts_without(group, candidate.id);
         candidate.is_near = old_pool != nullptr &&
                             old_pool->endpoint().entry.data_centre == endpoint.entry.data_centre;
         candidates.push_back(candidate);
@@ -272,8 +287,7 @@
     current.may_be_promoted = known->phase == leadership_phase::changing;
     const revision_number before = known->revision;
     const auto candidates = ask_candidates(group, current.record, current.term);
-    const auto chosen =
-        choose_successor(candidates, m_sync.records().voting_hosts(boot_now()).size());
+    const auto chosen = choose_successor(candidates, voters(group).size());
     if (!chosen) {
         log_step(current, "choose_successor", "none_reachable");
         return std::nullopt;
--- a/proxy/failover_agent.h
+++ b/proxy/failover_agent.h
@@ -48,7 +48,9 @@
     void check_group(const group_id& group, const group_record& record);
     primary_health health_of(const group_id& group, const endpoint_id& primary) const;
     [[nodiscard]] bool has_restarted(const group_record& record) const;
-    std::size_t hosts_without(const endpoint_id& endpoint) const;
+    /// Hosts whose view of the group's endpoints counts: they connect to them.
+    std::set<host_id> voters(const group_id& group) const;
+    std::size_t hosts_without(const group_id& group, const endpoint_id& endpoint) const;
     duration patience_of_rank(const group_id& group) const;
     void replace(const group_id& group, replacement kind);
     /// True when the group has a primary again.
--- a/proxy/fleet_state.cc
+++ b/proxy/fleet_state.cc
@@ -1,5 +1,6 @@
 #include "proxy/fleet_state.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "daemon/clock.h"
@@ -18,11 +19,12 @@
 
 }  // namespace
 
-fleet_state::fleet_state(daemon::worker& home, data_centre_id data_centre)
+fleet_state::fleet_state(daemon::worker& home, host_place self)
     : lease{primary_lease_length},
       changed{home.io()},
       m_home{home},
-      m_data_centre{std::move(data_centre)} {}
+      m_self{std::move(self)},
+      m_hosts{m_self} {}
 
 std::shared_ptr<endpoint_pool> fleet_state::pool(const endpoint_id& endpoint) const {
     const auto found = m_pools.find(endpoint);
@@ -55,6 +57,7 @@
     if (!pool) {
         pool = std::make_shared<endpoint_pool>(m_home, changed, endpoint);
     }
+    m_gateways.erase(endpoint.entry.group);
     update_pool(*pool, endpoint);
     if (endpoint.entry.state == member_state::leaving) {
         m_leaving_since.emplace(id, daemon::boot_now());
@@ -95,24 +98,58 @@
     }
 }
 
-void fleet_state::update_pool(endpoint_pool& pool, const listed_endpoint& endpoint) const {
+endpoint_capacity fleet_state::capacity(const group_id& group) const {
+    endpoint_capacity result;
+    result.max_connections = config.current() ? config.current()->max_connections(group) : 1;
+    for (const auto& pool : pools(group)) {
+        result.slots = std::max(result.slots, pool->endpoint().slots);
+    }
+    return result;
+}
+
+const std::vector<host_id>& fleet_state::gateways(const group_id& group) {
+    const auto known = m_gateways.find(group);
+    if (known != m_gateways.end()) {
+        return known->second;
+    }
+    const auto chosen = choose_gateways(group, m_hosts, capacity(group));
+    return m_gateways.emplace(group, order_gateways(group, chosen, m_self)).first->second;
+}
+
+bool fleet_state::is_gateway(const group_id& group) {
+    const auto& hosts = gateways(group);
+    // The order begins with this host when it is one of them.
+    return hosts.empty() || hosts.front() == m_self.host;
+}
+
+void fleet_state::update_pool(endpoint_pool& pool, const listed_endpoint& endpoint) {
     const listed_endpoint present = endpoint;
-    const std::uint32_t limit =
-        config.current() ? config.current()->max_connections(present.entry.group) : 1;
-    pool.update(present, limit, m_hosts);
+    const group_id& group = present.entry.group;
+    const std::size_t sharing = is_gateway(group) ? gateways(group).size() : 0;
+    const std::uint32_t limit = config.current() ? config.current()->max_connections(group) : 1;
+    pool.update(present, limit, static_cast<std::uint32_t>(sharing));
 }
 
-void fleet_state::set_hosts(std::size_t hosts) {
-    m_hosts = static_cast<std::uint32_t>(hosts);
+void fleet_state::update_pools() {
+    m_gateways.clear();
     for (const auto& [id, pool] : m_pools) {
         update_pool(*pool, pool->endpoint());
     }
 }
 
-void fleet_state::on_config() {
-    for (const auto& [id, pool] : m_pools) {
-        update_pool(*pool, pool->endpoint());
+void fleet_state::set_hosts(std::vector<host_place> hosts) {
+    const bool has_self = std::find(hosts.begin(), hosts.end(), m_self) != hosts.end();
+    if (!has_self) {
+        hosts.push_back(m_self);
     }
+    if (hosts != m_hosts) {
+        m_hosts = std::move(hosts);
+        update_pools();
+    }
+}
+
+void fleet_state::on_config() {
+    update_pools();
     changed.notify_all();
 }
 
--- a/proxy/fleet_state.h
+++ b/proxy/fleet_state.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "daemon/worker.h"
+#include "jasminelead/gateway.h"
 #include "jasminelead/listed_endpoint.h"
 #include "jasminelead/primary_lease.h"
 #include "jasminelead/read_bounds.h"
@@ -18,7 +19,7 @@
 /// What the daemon knows of configuration, endpoints and primaries. Belongs to one worker.
 class fleet_state {
 public:
-    fleet_state(daemon::worker& home, data_centre_id data_centre);
+    fleet_state(daemon::worker& home, host_place self);
 
     config_holder config;
     primary_lease lease;
@@ -38,21 +39,29 @@
     void remove_endpoint(const endpoint_id& endpoint);
     /// Applies a new configuration to the endpoints.
     void on_config();
-    /// The connections to endpoints are shared by so many hosts.
-    void set_hosts(std::size_t hosts);
+    /// The hosts among which the gateways of groups are chosen.
+    void set_hosts(std::vector<host_place> hosts);
+    /// Gateways of the group in the order in which this host asks them.
+    const std::vector<host_id>& gateways(const group_id& group);
+    /// True when this host runs the group's statements itself.
+    bool is_gateway(const group_id& group);
     /// Ends the use of leaving endpoints that lead no group, or have been leaving for long.
     void retire_leaving(instant now);
 
     [[nodiscard]] daemon::worker& home() const { return m_home; }
-    [[nodiscard]] const data_centre_id& data_centre() const { return m_data_centre; }
+    [[nodiscard]] const data_centre_id& data_centre() const { return m_self.data_centre; }
+    [[nodiscard]] const host_id& host() const { return m_self.host; }
 
 private:
+    void update_pool(endpoint_pool& pool, const listed_endpoint& endpoint);
+    void update_pools();
+    [[nodiscard]] endpoint_capacity capacity(const group_id& group) const;
+
     daemon::worker& m_home;
-    data_centre_id m_data_centre;
+    host_place m_self;
     std::map<endpoint_id, std::shared_ptr<endpoint_pool>> m_pools;
-    void update_pool(endpoint_pool& pool, const listed_endpoint& endpoint) const;
-
-    std::uint32_t m_hosts = 1;
+    std::vector<host_place> m_hosts;
+    std::map<group_id, std::vector<host_id>> m_gateways;  ///< Filled on demand.
     std::map<endpoint_id, instant> m_leaving_since;
     std::map<group_id, read_bounds> m_bounds;
 };
--- /dev/null
+++ b/proxy/gateway_server.cc
@@ -0,0 +1,206 @@
+#include "proxy/gateway_server.h"
+
+#include <boost/fiber/operations.hpp>
+#include <utility>
+#include <vector>
+
+#include "proxy/clock.h"
+#include "proxy/event_log.h"
+
+namespace jasminelead::proxy {
+namespace {
+
+using namespace literals;
+
+constexpr duration abandoned_poll = 250_ms;
+// The asking host ends idle transactions itself; one that has died does not.
+constexpr duration abandoned_slack = 500_ms;
+constexpr duration unlimited_idle = 30_s;
+
+}  // namespace
+
+gateway_server::gateway_server(fleet_state& fleet, statement_router& router,
+                               daemon::metrics& counters)
+    : m_fleet{fleet},
+      m_router{router},
+      m_counters{counters},
+      m_incarnation{daemon::wall_clock_incarnation()} {}
+
+void gateway_server::start() {
+    m_fleet.home().spawn([this] {
+        while (!m_stopped) {
+            drop_abandoned();
+            boost::this_fiber::sleep_until(to_steady(boot_now() + abandoned_poll));
+        }
+    });
+}
+
+std::optional<std::string> gateway_server::answer(std::string_view text) {
+    auto request = decode_gateway_request(text, boot_now());
+    if (!request) {
+        return std::nullopt;
+    }
+    ++m_running;
+    const gateway_answer result = handle(*request);
+    --m_running;
+    return encode_gateway_answer(result);
+}
+
+gateway_answer gateway_server::handle(gateway_request& request) {
+    const bool is_new =
+        request.action == gateway_action::run || request.action == gateway_action::begin;
+    if (!is_new) {
+        return continue_transaction(request);
+    }
+    if (declines(request)) {
+        m_counters.count("gateway_requests", "declined");
+        gateway_answer refusal;
+        refusal.declined = true;
+        return refusal;
+    }
+    m_counters.count("gateway_requests", "taken");
+    if (request.action == gateway_action::begin) {
+        return begin(request);
+    }
+    gateway_answer result;
+    result.outcome = m_router.run(request.session, request.route, request.statement);
+    result.writes = request.session.writes;
+    result.written_group = request.session.written_group;
+    return result;
+}
+
+bool gateway_server::declines(const gateway_request& request) const {
+    if (m_stopping) {
+        return true;
+    }
+    const bool reads = request.action == gateway_action::begin
+                           ? request.read_only
+                           : request.statement.kind == access::read;
+    const bool needs_primary = !reads || request.route.policy == read_policy::primary;
+    return request.may_decline && needs_primary && m_router.is_primary_away(request.route.group);
+}
+
+gateway_answer gateway_server::begin(gateway_request& request) {
+    gateway_answer result;
+    auto opened =
+        m_router.begin(request.session, request.route, request.statement, request.read_only);
+    if (auto* const refusal = std::get_if<statement_outcome>(&opened)) {
+        result.outcome = std::move(*refusal);
+        return result;
+    }
+    auto& transaction = std::get<open_transaction>(opened);
+    if (request.commits) {
+        result.outcome =
+            m_router.commit(transaction, request.session, request.route, request.statement);
+        return result;
+    }
+    const auto first =
+        m_router.step(transaction, request.session, request.route, request.statement);
+    result.outcome = first.outcome;
+    result.still_open = first.still_open;
+    if (first.still_open) {
+        result.transaction = hold(std::move(transaction));
+    }
+    return result;
+}
+
+/// Names are never used again, not even by the next process of this host.
+std::string gateway_server::hold(open_transaction&& opened) {
+    std::string name = std::to_string(m_incarnation) + "-" + std::to_string(m_next_number++);
+    auto held = std::make_shared<held_transaction>();
+    held->open = std::move(opened);
+    held->used = boot_now();
+    m_transactions.emplace(name, std::move(held));
+    return name;
+}
+
+gateway_answer gateway_server::continue_transaction(gateway_request& request) {
+    gateway_answer result;
+    const auto found = m_transactions.find(request.transaction);
+    if (found == m_transactions.end() || found->second->is_busy) {
+        m_counters.count("gateway_requests", "transaction_unknown");
+        result.outcome = make_fault(statement_fault::aborted, "the transaction was rolled back");
+        return result;
+    }
+    if (request.action == gateway_action::roll_back) {
+        drop(found);
+        return result;
+    }
+    const auto held = found->second;
+    if (request.action == gateway_action::step) {
+        return step(request, held);
+    }
+    m_transactions.erase(found);
+    result.outcome = m_router.commit(held->open, request.session, request.route, request.statement);
+    result.writes = request.session.writes;
+    result.written_group = request.session.written_group;
+    return result;
+}
+
+gateway_answer gateway_server::step(gateway_request& request,
+                                    const std::shared_ptr<held_transaction>& held) {
+    held->is_busy = true;
+    const auto next = m_router.step(held->open, request.session, request.route, request.statement);
+    held->is_busy = false;
+    held->used = boot_now();
+    gateway_answer result;
+    result.outcome = next.outcome;
+    result.still_open = next.still_open;
+    if (!next.still_open) {
+        m_transactions.erase(request.transaction);
+    }
+    return result;
+}
+
+void gateway_server::drop(const transaction_map::iterator& at) {
+    const auto held = at->second;
+    m_transactions.erase(at);
+    ++m_running;
+    m_router.roll_back(held->open);
+    --m_running;
+}
+
+void gateway_server::end_transactions() {
+    std::vector<std::string> open;
+    for (const auto& [name, held] : m_transactions) {
+        if (!held->is_busy) {
+            open.push_back(name);
+        }
+    }
+    for (const std::string& name : open) {
+        const auto found = m_transactions.find(name);
+        if (found != m_transactions.end() && !found->second->is_busy) {
+            m_counters.count("aborted_transactions", "stopping");
+            drop(found);
+        }
+    }
+}
+
+/// Load pattern: a host dies while its sessions hold transactions here. Their connections would be
+/// missing until the limit for idle connections at the endpoint.
+void gateway_server::drop_abandoned() {
+    const auto config = m_fleet.config.current();
+    const duration limit = config && config->transaction_idle_limit > duration{}
+                               ? config->transaction_idle_limit + abandoned_slack
+                               : unlimited_idle;
+    const instant now = boot_now();
+    std::vector<std::string> abandoned;
+    for (const auto& [name, held] : m_transactions) {
+        if (!held->is_busy && held->used + limit <= now) {
+            abandoned.push_back(name);
+        }
+    }
+    for (const std::string& name : abandoned) {
+        const auto found = m_transactions.find(name);
+        if (found != m_transactions.end() && !found->second->is_busy) {
+            m_counters.count("aborted_transactions", "abandoned");
+            log_line{log_class::change, "transaction_abandoned"}
+                .with("transaction", name)
+                .with("idle_ms", now - found->second->used)
+                .write();
+            drop(found);
+        }
+    }
+}
+
+}  // namespace jasminelead::proxy
--- /dev/null
+++ b/proxy/gateway_server.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "daemon/metrics.h"
+#include "proxy/fleet_state.h"
+#include "proxy/gateway_messages.h"
+#include "proxy/statement_router.h"
+
+namespace jasminelead::proxy {
+
+/// Runs statements and transactions for sessions of other hosts.
+class gateway_server {
+public:
+    gateway_server(fleet_state& fleet, statement_router& router, daemon::metrics& counters);
+
+    void start();
+    /// Answers one request; suspends the calling fiber while it runs. Nothing when the request
+    /// cannot be read.
+    std::optional<std::string> answer(std::string_view text);
+    /// From now on only statements of open transactions are taken.
+    void begin_stop() { m_stopping = true; }
+    /// Rolls back the transactions that are open, each after its statement in progress.
+    void end_transactions();
+    /// True when nothing is in progress or open.
+    [[nodiscard]] bool is_idle() const { return m_running == 0 && m_transactions.empty(); }
+    void stop() { m_stopped = true; }
+
+private:
+    struct held_transaction {
+        open_transaction open;
+        instant used;
+        bool is_busy = false;
+    };
+    using transaction_map = std::map<std::string, std::shared_ptr<held_transaction>, std::less<>>;
+
+    gateway_answer handle(gateway_request& request);
+    gateway_answer begin(gateway_request& request);
+    gateway_answer continue_transaction(gateway_request& request);
+    gateway_answer step(gateway_request& request, const std::shared_ptr<held_transaction>& held);
+    bool declines(const gateway_request& request) const;
+    std::string hold(open_transaction&& opened);
+    void drop_abandoned();
+    void drop(const transaction_map::iterator& at);
+
+    fleet_state& m_fleet;
+    statement_router& m_router;
+    daemon::metrics& m_counters;
+    incarnation_number m_incarnation;
+    std::uint64_t m_next_number = 1;
+    transaction_map m_transactions;
+    std::uint32_t m_running = 0;
+    bool m_stopping = false;
+    bool m_stopped = false;
+};
+
+}  // namespace jasminelead::proxy
--- a/proxy/own_records.cc
+++ b/proxy/own_records.cc
@@ -1,8 +1,9 @@
 #include "proxy/own_records.h"
 
-#include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
+#include "proxy/json_fields.h"
+
 namespace jasminelead::proxy {
 namespace {
 
@@ -13,36 +14,6 @@
 constexpr std::string_view alive_prefix = "jasminelead/alive/";
 constexpr std::string_view stopped_prefix = "jasminelead/stopped/";
 
-std::optional<json::object> parse(std::string_view text) {
-    boost::system::error_code error;
-    json::value value = json::parse(text, error);
-    if (error || !value.is_object()) {
-        return std::nullopt;
-    }
-    return std::move(value.get_object());
-}
-
-std::optional<std::string> text_of(const json::object& object, std::string_view name) {
-    const json::value* const value = object.if_contains(name);
-    if (value == nullptr || !value->is_string()) {
-        return std::nullopt;
-    }
-    return std::string{value->get_string()};
-}
-
-std::optional<std::uint64_t> number_of(const json::object& object, std::string_view name) {
-    const json::value* const value = object.if_contains(name);
-    boost::system::error_code error;
-    if (value == nullptr) {
-        return std::nullopt;
-    }
-    const auto number = value->to_number<std::uint64_t>(error);
-    if (error) {
-        return std::nullopt;
-    }
-    return number;
-}
-
 std::string with_prefix(std::string_view prefix, const std::string& name) {
     return std::string{prefix}.append(name);
 }
@@ -73,7 +44,7 @@
 }
 
 std::optional<group_record> decode_group_record(std::string_view text) {
-    const auto object = parse(text);
+    const auto object = parse_object(text);
     if (!object) {
         return std::nullopt;
     }
@@ -131,11 +102,12 @@
     return json::serialize(json::object{{"host", record.host.str()},
                                         {"incarnation", record.incarnation},
                                         {"peer", record.peer_address},
+                                        {"data_centre", record.data_centre.str()},
                                         {"unreachable", std::move(unreachable)}});
 }
 
 std::optional<host_record> decode_host_record(std::string_view text) {
-    const auto object = parse(text);
+    const auto object = parse_object(text);
     if (!object) {
         return std::nullopt;
     }
@@ -145,7 +117,8 @@
     if (!host || !incarnation || !peer) {
         return std::nullopt;
     }
-    host_record record{host_id{*host}, *incarnation, *peer, {}};
+    const std::string data_centre = text_of(*object, "data_centre").value_or("");
+    host_record record{host_id{*host}, *incarnation, *peer, data_centre_id{data_centre}, {}};
     const json::value* const unreachable = object->if_contains("unreachable");
     if (unreachable != nullptr && unreachable->is_array()) {
         for (const json::value& endpoint : unreachable->get_array()) {
--- a/proxy/own_records.h
+++ b/proxy/own_records.h
@@ -27,6 +27,7 @@
     host_id host;
     incarnation_number incarnation = 0;
     std::string peer_address;
+    data_centre_id data_centre;
     std::set<endpoint_id> unreachable;  ///< Endpoints to which it cannot open a connection.
     bool operator==(const host_record&) const = default;
 };
--- a/proxy/peer_messages.cc
+++ b/proxy/peer_messages.cc
@@ -1,46 +1,15 @@
 #include "proxy/peer_messages.h"
 
-#include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 #include <utility>
 
+#include "proxy/json_fields.h"
+
 namespace jasminelead::proxy {
 namespace {
 
 namespace json = boost::json;
 
-std::optional<json::object> parse(std::string_view text) {
-    boost::system::error_code error;
-    json::value value = json::parse(text, error);
-    if (error || !value.is_object()) {
-        return std::nullopt;
-    }
-    return std::move(value.get_object());
-}
-
-std::optional<std::uint64_t> number_of(const json::object& object, std::string_view name) {
-    const json::value* const value = object.if_contains(name);
-    boost::system::error_code error;
-    const auto number = value == nullptr ? 0 : value->to_number<std::uint64_t>(error);
-    if (value == nullptr || error) {
-        return std::nullopt;
-    }
-    return number;
-}
-
-std::optional<std::string> text_of(const json::object& object, std::string_view name) {
-    const json::value* const value = object.if_contains(name);
-    if (value == nullptr || !value->is_string()) {
-        return std::nullopt;
-    }
-    return std::string{value->get_string()};
-}
-
-bool flag_of(const json::object& object, std::string_view name) {
-    const json::value* const value = object.if_contains(name);
-    return value != nullptr && value->is_bool() && value->get_bool();
-}
-
 json::value encode_change(const platform::store_change& change) {
     json::object object{{"key", change.key}, {"revision", change.revision}};
     if (change.value) {
@@ -81,7 +50,7 @@
 }
 
 std::optional<peer_question> decode_question(std::string_view text) {
-    const auto object = parse(text);
+    const auto object = parse_object(text);
     if (!object) {
         return std::nullopt;
     }
@@ -124,7 +93,7 @@
 }
 
 std::optional<peer_answer> decode_answer(std::string_view text) {
-    const auto object = parse(text);
+    const auto object = parse_object(text);
     if (!object) {
         return std::nullopt;
     }
--- a/proxy/record_mirror.cc
+++ b/proxy/record_mirror.cc
@@ -189,6 +189,19 @@
     return live;
 }
 
+/// While the store is away, leases of all hosts may end at once; then all registered hosts count.
+std::vector<host_place> record_mirror::places(instant now) const {
+    const auto live = live_hosts(now);
+    const bool most_live = live.size() * 2 >= m_hosts.size();
+    std::vector<host_place> result;
+    for (const auto& [host, record] : m_hosts) {
+        if (!most_live || live.contains(host)) {
+            result.push_back({host, record.data_centre});
+        }
+    }
+    return result;
+}
+
 /// A host that is no longer registered may rely on primaries until its lease has ended.
 void record_mirror::apply_host(const host_id& host, const std::optional<std::string>& value) {
     auto record = value ? decode_host_record(*value) : std::nullopt;
--- a/proxy/record_mirror.h
+++ b/proxy/record_mirror.h
@@ -45,6 +45,8 @@
     [[nodiscard]] std::set<host_id> live_hosts(instant now) const;
     /// Live hosts whose view of the endpoints counts: they have renewed their lease for a while.
     [[nodiscard]] std::set<host_id> voting_hosts(instant now) const;
+    /// Registered hosts that can take work from others.
+    [[nodiscard]] std::vector<host_place> places(instant now) const;
     /// Revision up to which the host has stopped using replaced primaries of the group.
     [[nodiscard]] revision_number stopped(const group_id& group, const host_id& host) const;
     void note_stopped(const group_id& group, const host_id& host, revision_number revision);
--- a/proxy/session.cc
+++ b/proxy/session.cc
@@ -20,10 +20,10 @@
 
 }  // namespace
 
-session::session(fleet_state& fleet, statement_router& router, daemon::metrics& counters,
+session::session(fleet_state& fleet, statement_dispatcher& dispatcher, daemon::metrics& counters,
                  daemon::tcp::socket socket)
     : m_fleet{fleet},
-      m_router{router},
+      m_dispatcher{dispatcher},
       m_counters{counters},
       m_stream{fleet.home().io(), std::move(socket)} {}
 
@@ -218,21 +218,21 @@
     if (m_transaction_begun) {
         run_in_transaction(statement, *found);
     } else {
-        reply(m_router.run(m_data, *found, statement));
+        reply(m_dispatcher.run(m_data, *found, statement));
     }
 }
 
 void session::run_in_transaction(const forwarded_statement& statement, const database_route& used) {
     if (!m_transaction) {
-        auto opened = m_router.begin(m_data, used, statement, m_read_only);
-        if (const auto* const refusal = std::get_if<statement_outcome>(&opened)) {
+        auto begun = m_dispatcher.begin(m_data, used, statement, m_read_only);
+        m_transaction = std::move(begun.transaction);
+        if (!m_transaction) {
             m_state = transaction_state::failed;
-            reply(*refusal);
-            return;
         }
-        m_transaction = std::get<open_transaction>(std::move(opened));
+        reply(begun.outcome);
+        return;
     }
-    const auto result = m_router.step(*m_transaction, m_data, used, statement);
+    const auto result = m_dispatcher.step(*m_transaction, m_data, used, statement);
     if (!result.still_open) {
         m_transaction.reset();
         m_state = transaction_state::failed;
@@ -266,15 +266,11 @@
     statement.kind = access::write;
     statement.arrived = m_arrived;
     if (!m_transaction) {
-        auto opened = m_router.begin(m_data, *used, statement, m_read_only);
-        if (const auto* const refusal = std::get_if<statement_outcome>(&opened)) {
-            m_transaction_begun = false;
-            reply(*refusal);
-            return;
-        }
-        m_transaction = std::get<open_transaction>(std::move(opened));
+        m_transaction_begun = false;
+        reply(m_dispatcher.commit_empty(m_data, *used, statement, m_read_only));
+        return;
     }
-    const statement_outcome outcome = m_router.commit(*m_transaction, m_data, *used, statement);
+    const statement_outcome outcome = m_dispatcher.commit(*m_transaction, m_data, *used, statement);
     m_transaction.reset();
     m_transaction_begun = false;
     reply(outcome);
@@ -310,7 +306,7 @@
 /// Gives up what the transaction holds.
 void session::leave_transaction() {
     if (m_transaction) {
-        m_router.roll_back(*m_transaction);
+        m_dispatcher.roll_back(*m_transaction);
         m_transaction.reset();
     }
 }
--- a/proxy/session.h
+++ b/proxy/session.h
@@ -9,14 +9,14 @@
 #include "platform/wire.h"
 #include "proxy/fleet_state.h"
 #include "proxy/session_data.h"
-#include "proxy/statement_router.h"
+#include "proxy/statement_dispatcher.h"
 
 namespace jasminelead::proxy {
 
 /// One caller's connection, from its startup to its end.
 class session {
 public:
-    session(fleet_state& fleet, statement_router& router, daemon::metrics& counters,
+    session(fleet_state& fleet, statement_dispatcher& dispatcher, daemon::metrics& counters,
             daemon::tcp::socket socket);
 
     /// Serves until the connection ends. Runs in a fiber of its own.
@@ -51,7 +51,7 @@
     void flush();
 
     fleet_state& m_fleet;
-    statement_router& m_router;
+    statement_dispatcher& m_dispatcher;
     daemon::metrics& m_counters;
     daemon::fiber_stream m_stream;
     platform::line_buffer m_received;
@@ -63,7 +63,7 @@
         false;  ///< The caller began one; it may not have reached an endpoint.
     bool m_read_only = false;
     std::shared_ptr<const routing_config> m_transaction_config;
-    std::optional<open_transaction> m_transaction;
+    std::optional<session_transaction> m_transaction;
     instant m_arrived;
     bool m_waiting = false;
     bool m_closing = false;
--- a/proxy/session_daemon.cc
+++ b/proxy/session_daemon.cc
@@ -26,12 +26,15 @@
 
 session_daemon::session_daemon(settings options)
     : m_settings{std::move(options)},
-      m_fleet{m_home, m_settings.data_centre},
+      m_fleet{m_home, {m_settings.host, m_settings.data_centre}},
       m_mirror{m_fleet, m_counters},
       m_sync{m_fleet, m_mirror, m_counters, m_settings},
       m_peers{m_fleet, m_sync, m_counters, m_settings},
       m_failover{m_fleet, m_sync, m_peers, m_counters, m_settings},
       m_router{m_fleet, m_counters},
+      m_gateways{m_fleet, m_mirror, m_counters},
+      m_gateway{m_fleet, m_router, m_counters},
+      m_dispatcher{m_fleet, m_router, m_gateways, m_counters},
       m_readiness{m_home, [this](auto, auto) { return readiness_page(); }},
       m_metrics{m_home, [this](auto target, auto) { return metrics_page(target); }},
       m_peer_pages{m_home, [this](auto target, auto body) { return peer_page(target, body); }},
@@ -68,6 +71,8 @@
         m_sync.start();
         m_peers.start();
         m_failover.start();
+        m_gateways.start();
+        m_gateway.start();
         accept_next();
         m_home.spawn([this] { run_log_flush(); });
         m_home.spawn([this] { run_isolation_check(); });
@@ -89,7 +94,7 @@
 
 void session_daemon::accept(daemon::tcp::socket socket) {
     const auto accepted =
-        std::make_shared<session>(m_fleet, m_router, m_counters, std::move(socket));
+        std::make_shared<session>(m_fleet, m_dispatcher, m_counters, std::move(socket));
     m_sessions.insert(accepted);
     m_home.spawn([this, accepted] {
         accepted->serve();
@@ -129,8 +134,12 @@
     if (target == "/peer/ping") {
         return {200, "text/plain", "running\n"};
     }
-    const bool known = target == "/peer/exchange";
-    auto answer = known ? m_peers.answer(body) : std::nullopt;
+    const bool is_statement = target == "/peer/statement";
+    const bool known = is_statement || target == "/peer/exchange";
+    std::optional<std::string> answer;
+    if (known) {
+        answer = is_statement ? m_gateway.answer(body) : m_peers.answer(body);
+    }
     if (!answer) {
         return {known ? 400U : 404U, "text/plain", "not a question of a peer\n"};
     }
@@ -202,12 +211,19 @@
 void session_daemon::run_stop() {
     const instant begun = boot_now();
     log_line{log_class::change, "stopping"}.with("sessions", m_sessions.size()).write();
+    m_gateway.begin_stop();
     note_ready();
     const instant close_idle = begun + std::min(balancer_delay, m_settings.stop_grace * idle_share);
     const instant end_transactions = begun + m_settings.stop_grace * transaction_share;
     const instant end = begun + m_settings.stop_grace * last_share;
-    while (boot_now() < end && !(boot_now() >= close_idle && m_sessions.empty())) {
+    const auto is_done = [&] {
+        return boot_now() >= close_idle && m_sessions.empty() && m_gateway.is_idle();
+    };
+    while (boot_now() < end && !is_done()) {
         const instant now = boot_now();
+        if (now >= end_transactions) {
+            m_gateway.end_transactions();
+        }
         const std::vector<std::shared_ptr<session>> open{m_sessions.begin(), m_sessions.end()};
         for (const auto& item : open) {
             if (now >= end_transactions) {
@@ -226,6 +242,8 @@
     m_sync.stop();
     m_peers.stop();
     m_failover.stop();
+    m_gateways.stop();
+    m_gateway.stop();
     log_line{log_class::change, "stopped"}
         .with("took_ms", boot_now() - begun)
         .with("sessions_left", m_sessions.size())
--- a/proxy/session_daemon.h
+++ b/proxy/session_daemon.h
@@ -9,9 +9,12 @@
 #include "daemon/worker.h"
 #include "proxy/failover_agent.h"
 #include "proxy/fleet_state.h"
+#include "proxy/gateway_client.h"
+#include "proxy/gateway_server.h"
 #include "proxy/peer_sync.h"
 #include "proxy/session.h"
 #include "proxy/settings.h"
+#include "proxy/statement_dispatcher.h"
 #include "proxy/statement_router.h"
 #include "proxy/status_pages.h"
 #include "proxy/store_sync.h"
@@ -67,6 +70,9 @@
     peer_sync m_peers;
     failover_agent m_failover;
     statement_router m_router;
+    gateway_client m_gateways;
+    gateway_server m_gateway;
+    statement_dispatcher m_dispatcher;
     status_pages m_readiness;
     status_pages m_metrics;
     status_pages m_peer_pages;
--- /dev/null
+++ b/proxy/statement_dispatcher.cc
@@ -0,0 +1,278 @@
+#include "proxy/statement_dispatcher.h"
+
+#include <utility>
+#include <vector>
+
+#include "proxy/clock.h"
+#include "proxy/event_log.h"
+
+namespace jasminelead::proxy {
+namespace {
+
+using namespace literals;
+
+// Beyond these, a statement is as likely served by waiting here.
+constexpr int most_gateways_asked = 3;
+constexpr duration rollback_timeout = 500_ms;
+
+template <class... Visitors>
+struct overloaded : Visitors... {
+    using Visitors::operator()...;
+};
+template <class... Visitors>
+overloaded(Visitors...) -> overloaded<Visitors...>;
+
+}  // namespace
+
+statement_dispatcher::statement_dispatcher(fleet_state& fleet, statement_router& router,
+                                           gateway_client& gateways, daemon::metrics& counters)
+    : m_fleet{fleet}, m_router{router}, m_gateways{gateways}, m_counters{counters} {}
+
+/// Load pattern: a primary is cut off from some hosts only. Hosts that do not reach it pass their
+/// statements to those that do.
+bool statement_dispatcher::runs_here(const database_route& route, bool needs_primary) {
+    if (m_router.is_isolated()) {
+        return true;
+    }
+    return m_fleet.is_gateway(route.group) &&
+           !(needs_primary && m_router.is_primary_away(route.group));
+}
+
+gateway_request statement_dispatcher::make_request(gateway_action action,
+                                                   const session_data& session,
+                                                   const database_route& route,
+                                                   const forwarded_statement& statement) const {
+    gateway_request request;
+    request.action = action;
+    request.route = route;
+    request.statement = statement;
+    request.session.values = session.values;
+    request.session.writes = session.writes;
+    request.session.written_group = session.written_group;
+    return request;
+}
+
+/// Asks gateways until one has answered. A statement that may have run is only repeated when it
+/// changes nothing.
+statement_dispatcher::relay_result statement_dispatcher::relay(gateway_request& request,
+                                                               session_data& session) {
+    const instant give_up = request.statement.arrived + request.route.statement_timeout;
+    const bool repeatable =
+        request.action == gateway_action::begin || request.statement.kind == access::read;
+    request.may_decline = true;
+    int asked = 0;
+    const std::vector<host_id> gateways = m_fleet.gateways(request.route.group);
+    for (const host_id& gateway : gateways) {
+        const bool usable =
+            gateway != m_fleet.host() && m_gateways.is_usable(gateway, request.route.group);
+        if (!usable || asked >= most_gateways_asked) {
+            continue;
+        }
+        ++asked;
+        auto result = m_gateways.ask(gateway, request, give_up);
+        if (const auto* const fault = std::get_if<gateway_fault>(&result)) {
+            const bool may_have_run = *fault == gateway_fault::lost;
+            log_relayed(request.statement, request.route, gateway,
+                        may_have_run ? "gateway_lost" : "gateway_unreachable");
+            if ((may_have_run && !repeatable) || boot_now() >= give_up) {
+                return *fault;
+            }
+            continue;
+        }
+        auto& answer = std::get<gateway_answer>(result);
+        if (answer.declined) {
+            continue;
+        }
+        if (answer.writes.point) {
+            session.writes = answer.writes;
+            session.written_group = answer.written_group;
+        }
+        return relayed_answer{gateway, std::move(answer)};
+    }
+    return gateway_fault::not_sent;
+}
+
+statement_outcome statement_dispatcher::lost(const forwarded_statement& statement,
+                                             const host_id& gateway, statement_fault fault,
+                                             std::string_view text) {
+    m_counters.count(
+        fault == statement_fault::unknown_outcome ? "unknown_outcomes" : "aborted_transactions",
+        "gateway_lost");
+    log_line{log_class::refusal, "gateway_lost"}
+        .with("request", statement.id)
+        .with("gateway", gateway)
+        .with("outcome", to_string(fault))
+        .with("took_ms", boot_now() - statement.arrived)
+        .write();
+    return make_fault(fault, text);
+}
+
+void statement_dispatcher::log_relayed(const forwarded_statement& statement,
+                                       const database_route& route, const host_id& gateway,
+                                       std::string_view outcome) {
+    log_line{log_class::refusal, "relay"}
+        .with("request", statement.id)
+        .with("database", route.database)
+        .with("group", route.group)
+        .with("gateway", gateway)
+        .with("outcome", outcome)
+        .with("took_ms", boot_now() - statement.arrived)
+        .write();
+}
+
+statement_outcome statement_dispatcher::run(session_data& session, const database_route& route,
+                                            const forwarded_statement& statement) {
+    const bool writes = statement.kind == access::write;
+    const bool needs_primary = writes || route.policy == read_policy::primary;
+    if (runs_here(route, needs_primary)) {
+        return m_router.run(session, route, statement);
+    }
+    auto request = make_request(gateway_action::run, session, route, statement);
+    auto result = relay(request, session);
+    if (auto* const relayed = std::get_if<relayed_answer>(&result)) {
+        return std::move(relayed->answer.outcome);
+    }
+    if (std::get<gateway_fault>(result) == gateway_fault::lost) {
+        return writes ? lost(statement, host_id{}, statement_fault::unknown_outcome,
+                             "the answer was lost")
+                      : make_fault(statement_fault::timeout, "no answer within the timeout");
+    }
+    return m_router.run(session, route, statement);
+}
+
+statement_dispatcher::first_step statement_dispatcher::begin(session_data& session,
+                                                             const database_route& route,
+                                                             const forwarded_statement& first,
+                                                             bool read_only) {
+    const bool needs_primary = !read_only || route.policy == read_policy::primary;
+    if (runs_here(route, needs_primary)) {
+        return begin_here(session, route, first, read_only);
+    }
+    auto request = make_request(gateway_action::begin, session, route, first);
+    request.read_only = read_only;
+    auto result = relay(request, session);
+    if (std::holds_alternative<gateway_fault>(result)) {
+        // Whatever a lost gateway has begun is rolled back there.
+        return begin_here(session, route, first, read_only);
+    }
+    auto& relayed = std::get<relayed_answer>(result);
+    first_step begun{std::move(relayed.answer.outcome), std::nullopt};
+    if (relayed.answer.still_open) {
+        begun.transaction = relayed_transaction{relayed.gateway, relayed.answer.transaction, route,
+                                                first.kind == access::write};
+    }
+    return begun;
+}
+
+statement_dispatcher::first_step statement_dispatcher::begin_here(session_data& session,
+                                                                  const database_route& route,
+                                                                  const forwarded_statement& first,
+                                                                  bool read_only) {
+    auto opened = m_router.begin(session, route, first, read_only);
+    if (auto* const refusal = std::get_if<statement_outcome>(&opened)) {
+        return {std::move(*refusal), std::nullopt};
+    }
+    auto& transaction = std::get<open_transaction>(opened);
+    auto result = m_router.step(transaction, session, route, first);
+    first_step begun{std::move(result.outcome), std::nullopt};
+    if (result.still_open) {
+        begun.transaction = std::move(transaction);
+    }
+    return begun;
+}
+
+statement_outcome statement_dispatcher::commit_empty(session_data& session,
+                                                     const database_route& route,
+                                                     const forwarded_statement& commit,
+                                                     bool read_only) {
+    const bool needs_primary = !read_only || route.policy == read_policy::primary;
+    if (runs_here(route, needs_primary)) {
+        return commit_empty_here(session, route, commit, read_only);
+    }
+    auto request = make_request(gateway_action::begin, session, route, commit);
+    request.read_only = read_only;
+    request.commits = true;
+    auto result = relay(request, session);
+    if (auto* const relayed = std::get_if<relayed_answer>(&result)) {
+        return std::move(relayed->answer.outcome);
+    }
+    return commit_empty_here(session, route, commit, read_only);
+}
+
+statement_outcome statement_dispatcher::commit_empty_here(session_data& session,
+                                                          const database_route& route,
+                                                          const forwarded_statement& commit,
+                                                          bool read_only) {
+    auto opened = m_router.begin(session, route, commit, read_only);
+    if (auto* const refusal = std::get_if<statement_outcome>(&opened)) {
+        return std::move(*refusal);
+    }
+    return m_router.commit(std::get<open_transaction>(opened), session, route, commit);
+}
+
+statement_router::step_outcome statement_dispatcher::step(session_transaction& transaction,
+                                                          session_data& session,
+                                                          const database_route& route,
+                                                          const forwarded_statement& statement) {
+    const auto step_here = [&](open_transaction& open) {
+        return m_router.step(open, session, route, statement);
+    };
+    const auto step_there = [&](relayed_transaction& open) -> statement_router::step_outcome {
+        auto request = make_request(gateway_action::step, session, route, statement);
+        request.transaction = open.name;
+        open.wrote = open.wrote || statement.kind == access::write;
+        auto result =
+            m_gateways.ask(open.gateway, request, statement.arrived + route.statement_timeout);
+        if (auto* const answer = std::get_if<gateway_answer>(&result)) {
+            return {std::move(answer->outcome), answer->still_open};
+        }
+        // Without a commit, which only this session can send, nothing of it is kept.
+        return {lost(statement, open.gateway, statement_fault::aborted,
+                     "the gateway was lost; rolled back"),
+                false};
+    };
+    return std::visit(overloaded{step_here, step_there}, transaction);
+}
+
+statement_outcome statement_dispatcher::commit(session_transaction& transaction,
+                                               session_data& session, const database_route& route,
+                                               const forwarded_statement& statement) {
+    const auto commit_here = [&](open_transaction& open) {
+        return m_router.commit(open, session, route, statement);
+    };
+    const auto commit_there = [&](relayed_transaction& open) -> statement_outcome {
+        auto request = make_request(gateway_action::commit, session, route, statement);
+        request.transaction = open.name;
+        auto result =
+            m_gateways.ask(open.gateway, request, statement.arrived + route.statement_timeout);
+        if (auto* const answer = std::get_if<gateway_answer>(&result)) {
+            if (answer->writes.point) {
+                session.writes = answer->writes;
+                session.written_group = answer->written_group;
+            }
+            return std::move(answer->outcome);
+        }
+        const bool unsent = std::get<gateway_fault>(result) == gateway_fault::not_sent;
+        return unsent || !open.wrote
+                   ? lost(statement, open.gateway, statement_fault::aborted,
+                          "the gateway was lost; rolled back")
+                   : lost(statement, open.gateway, statement_fault::unknown_outcome,
+                          "the answer was lost");
+    };
+    return std::visit(overloaded{commit_here, commit_there}, transaction);
+}
+
+void statement_dispatcher::roll_back(session_transaction& transaction) {
+    const auto roll_back_here = [&](open_transaction& open) { m_router.roll_back(open); };
+    const auto roll_back_there = [&](relayed_transaction& open) {
+        forwarded_statement nothing;
+        nothing.arrived = boot_now();
+        auto request = make_request(gateway_action::roll_back, session_data{}, open.route, nothing);
+        request.transaction = open.name;
+        // One that does not arrive is rolled back when the gateway finds it abandoned.
+        m_gateways.ask(open.gateway, request, boot_now() + rollback_timeout);
+    };
+    std::visit(overloaded{roll_back_here, roll_back_there}, transaction);
+}
+
+}  // namespace jasminelead::proxy
--- /dev/null
+++ b/proxy/statement_dispatcher.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+
+#include "daemon/metrics.h"
+#include "proxy/fleet_state.h"
+#include "proxy/gateway_client.h"
+#include "proxy/statement_router.h"
+
+/// Runs statements of this host's sessions here or at a gateway of their group.
+namespace jasminelead::proxy {
+
+/// A transaction that a gateway holds.
+struct relayed_transaction {
+    host_id gateway;
+    std::string name;
+    database_route route;
+    bool wrote = false;
+};
+
+using session_transaction = std::variant<open_transaction, relayed_transaction>;
+
+class statement_dispatcher {
+public:
+    statement_dispatcher(fleet_state& fleet, statement_router& router, gateway_client& gateways,
+                         daemon::metrics& counters);
+
+    /// One statement outside a transaction.
+    statement_outcome run(session_data& session, const database_route& route,
+                          const forwarded_statement& statement);
+    /// The first statement of a transaction, and the transaction if it is still open.
+    struct first_step {
+        statement_outcome outcome;
+        std::optional<session_transaction> transaction;
+    };
+    first_step begin(session_data& session, const database_route& route,
+                     const forwarded_statement& first, bool read_only);
+    /// Begins and commits at once.
+    statement_outcome commit_empty(session_data& session, const database_route& route,
+                                   const forwarded_statement& commit, bool read_only);
+    statement_router::step_outcome step(session_transaction& transaction, session_data& session,
+                                        const database_route& route,
+                                        const forwarded_statement& statement);
+    statement_outcome commit(session_transaction& transaction, session_data& session,
+                             const database_route& route, const forwarded_statement& statement);
+    void roll_back(session_transaction& transaction);
+
+private:
+    struct relayed_answer {
+        host_id gateway;
+        gateway_answer answer;
+    };
+    /// The outcome of asking gateways: an answer, or whether a run is excluded.
+    using relay_result = std::variant<relayed_answer, gateway_fault>;
+
+    [[nodiscard]] bool runs_here(const database_route& route, bool needs_primary);
+    relay_result relay(gateway_request& request, session_data& session);
+    gateway_request make_request(gateway_action action, const session_data& session,
+                                 const database_route& route,
+                                 const forwarded_statement& statement) const;
+    first_step begin_here(session_data& session, const database_route& route,
+                          const forwarded_statement& first, bool read_only);
+    statement_outcome commit_empty_here(session_data& session, const database_route& route,
+                                        const forwarded_statement& commit, bool read_only);
+    statement_outcome lost(const forwarded_statement& statement, const host_id& gateway,
+                           statement_fault fault, std::string_view text);
+    void log_relayed(const forwarded_statement& statement, const database_route& route,
+                     const host_id& gateway, std::string_view outcome);
+
+    fleet_state& m_fleet;
+    statement_router& m_router;
+    gateway_client& m_gateways;
+    daemon::metrics& m_counters;
+};
+
+}  // namespace jasminelead::proxy
--- a/proxy/statement_router.cc
+++ b/proxy/statement_router.cc
@@ -209,6 +209,17 @@
     log_attempt(current, pool.endpoint().entry.id, to_string(fault));
 }
 
+/// While a primary is replaced, all hosts wait alike.
+bool statement_router::is_primary_away(const group_id& group) const {
+    const group_record* const record = m_fleet.lease.record(group);
+    if (record == nullptr || record->phase != leadership_phase::led) {
+        return false;
+    }
+    const auto permit = m_fleet.lease.permit(group, boot_now());
+    const auto pool = permit ? m_fleet.pool(permit->primary) : nullptr;
+    return !pool || pool->is_retired() || !pool->health().is_reachable();
+}
+
 std::variant<statement_router::primary_run, statement_outcome> statement_router::acquire_primary(
     statement_attempt& current, bool needs_live_link) {
     const group_id& group = current.route.group;
--- a/proxy/statement_router.h
+++ b/proxy/statement_router.h
@@ -32,6 +32,9 @@
 
     /// While the daemon is cut off, statements that need a primary are refused at once.
     void set_isolated(bool is_isolated) { m_is_isolated = is_isolated; }
+    [[nodiscard]] bool is_isolated() const { return m_is_isolated; }
+    /// True when this host cannot use the group's primary, though other hosts may.
+    [[nodiscard]] bool is_primary_away(const group_id& group) const;
 
     /// One statement outside a transaction.
     statement_outcome run(session_data& session, const database_route& route,
--- a/proxy/status_pages.cc
+++ b/proxy/status_pages.cc
@@ -16,7 +16,8 @@
 constexpr int backlog = 1024;
 constexpr std::size_t read_bytes = 4096;
 constexpr std::uint32_t most_header_bytes = 8 * 1024;
-constexpr std::uint64_t most_body_bytes = std::uint64_t{256} * 1024;
+// A statement of a peer may have 1 MiB, and JSON escapes can double it.
+constexpr std::uint64_t most_body_bytes = std::uint64_t{3} * 1024 * 1024;
 constexpr duration idle_timeout = 30_s;
 
 std::string render(const page& content, bool keep_alive) {
--- a/proxy/store_sync.cc
+++ b/proxy/store_sync.cc
@@ -53,7 +53,8 @@
       m_mirror{mirror},
       m_counters{counters},
       m_self{options.host},
-      m_own_record{options.host, daemon::wall_clock_incarnation(), options.peer, {}},
+      m_own_record{
+          options.host, daemon::wall_clock_incarnation(), options.peer, options.data_centre, {}},
       m_store{fleet.home().io(), options.store} {}
 
 void store_sync::start() {
@@ -169,7 +170,7 @@
         confirm();
         m_mirror.drop_departed();
         m_fleet.retire_leaving(boot_now());
-        m_fleet.set_hosts(m_mirror.hosts().size());
+        m_fleet.set_hosts(m_mirror.places(boot_now()));
         pause(std::max(begun + confirm_interval - boot_now(), retry_pause));
     }
 }
--- a/src/connection_share.cc
+++ b/src/connection_share.cc
@@ -16,7 +16,7 @@
 
 void connection_share::set_limit(std::uint32_t max_connections, std::uint32_t hosts) {
     m_max = std::max<std::uint32_t>(max_connections, 1);
-    m_share = std::max<std::uint32_t>(m_max / std::max<std::uint32_t>(hosts, 1), 1);
+    m_share = hosts == 0 ? 0 : std::max<std::uint32_t>(m_max / hosts, 1);
 }
 
 void connection_share::on_refused(std::uint32_t open, instant now) {
--- a/src/primary_replacement.cc
+++ b/src/primary_replacement.cc
@@ -10,11 +10,11 @@
 /// halves must not take it from each other in turns.
 replacement decide_replacement(const primary_health& health) {
     // A host that knows the views of a few only is more likely cut off itself.
-    if (health.hosts * 2 < health.registered) {
+    if (health.hosts * 2 < health.registered || health.voters * 2 < health.gateways) {
         return replacement::none;
     }
     if (!health.is_listed || health.sees_itself_as_replica ||
-        is_majority(health.hosts_without_primary, health.hosts)) {
+        is_majority(health.voters_without_primary, health.voters)) {
         return replacement::urgent;
     }
     return health.is_leaving ? replacement::planned : replacement::none;
--- a/src/statement_fault.cc
+++ b/src/statement_fault.cc
@@ -36,6 +36,17 @@
     return "unknown_outcome";
 }
 
+std::optional<statement_fault> statement_fault_from_string(std::string_view name) {
+    const int last = static_cast<int>(statement_fault::unknown_outcome);
+    for (int value = 0; value <= last; ++value) {
+        const auto fault = static_cast<statement_fault>(value);
+        if (to_string(fault) == name) {
+            return fault;
+        }
+    }
+    return std::nullopt;
+}
+
 bool excludes_run(statement_fault fault) {
     switch (fault) {
         case statement_fault::busy:
--- /dev/null
+++ b/test/gateway_test.cc
@@ -0,0 +1,101 @@
+#include "jasminelead/gateway.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <map>
+#include <set>
+
+using namespace jasminelead;
+
+namespace {
+
+std::vector<host_place> fleet(int hosts, int data_centres) {
+    std::vector<host_place> places;
+    for (int i = 0; i < hosts; ++i) {
+        places.push_back({host_id{"h" + std::to_string(i)},
+                          data_centre_id{"dc-" + std::to_string(i % data_centres)}});
+    }
+    return places;
+}
+
+std::set<host_id> names(const std::vector<host_place>& places) {
+    std::set<host_id> result;
+    for (const host_place& place : places) {
+        result.insert(place.host);
+    }
+    return result;
+}
+
+const group_id shows{"shows"};
+
+}  // namespace
+
+TEST_CASE("every host connects when each can have a connection for every slot") {
+    const auto hosts = fleet(6, 3);
+    CHECK(choose_gateways(shows, hosts, {22, 3}) == hosts);
+}
+
+// Guards against 69 hosts that refuse each other the 34 connections of an endpoint.
+TEST_CASE("a few hosts of each data centre connect when connections are scarce") {
+    const auto hosts = fleet(69, 3);
+    const auto gateways = choose_gateways(shows, hosts, {34, 3});
+    std::map<data_centre_id, int> counts;
+    for (const host_place& place : gateways) {
+        ++counts[place.data_centre];
+    }
+    REQUIRE(counts.size() == 3);
+    for (const auto& [data_centre, count] : counts) {
+        CHECK(count == 3);
+    }
+}
+
+TEST_CASE("groups have different gateways") {
+    const auto hosts = fleet(69, 3);
+    std::set<host_id> used;
+    for (int i = 0; i < 8; ++i) {
+        used.merge(names(choose_gateways(group_id{"g" + std::to_string(i)}, hosts, {34, 3})));
+    }
+    CHECK(used.size() > 40);
+}
+
+// Guards against a herd of new connections when one host leaves a large fleet.
+TEST_CASE("a host that leaves moves one role at most") {
+    const auto hosts = fleet(69, 3);
+    const auto before = names(choose_gateways(shows, hosts, {34, 3}));
+    for (const host_place& gone : hosts) {
+        auto left = hosts;
+        std::erase(left, gone);
+        const auto after = names(choose_gateways(shows, left, {34, 3}));
+        std::vector<host_id> added;
+        std::set_difference(after.begin(), after.end(), before.begin(), before.end(),
+                            std::back_inserter(added));
+        CHECK(added.size() == (before.contains(gone.host) ? 1 : 0));
+    }
+}
+
+TEST_CASE("a host asks itself first, then gateways of its data centre") {
+    const auto hosts = fleet(9, 3);
+    const auto own = order_gateways(shows, hosts, hosts[4]);
+    REQUIRE(own.size() == 9);
+    CHECK(own[0] == host_id{"h4"});
+    CHECK(std::set<host_id>{own[1], own[2]} == std::set<host_id>{host_id{"h1"}, host_id{"h7"}});
+}
+
+// Guards against one gateway that gets the statements of a whole data centre.
+TEST_CASE("hosts of a data centre spread over its gateways") {
+    const auto hosts = fleet(69, 3);
+    const auto gateways = choose_gateways(shows, hosts, {34, 3});
+    const auto chosen = names(gateways);
+    std::map<host_id, int> asked;
+    int askers = 0;
+    for (const host_place& host : hosts) {
+        if (host.data_centre == data_centre_id{"dc-0"} && !chosen.contains(host.host)) {
+            ++asked[order_gateways(shows, gateways, host).front()];
+            ++askers;
+        }
+    }
+    CHECK(asked.size() == 3);
+    for (const auto& [gateway, count] : asked) {
+        CHECK(count < askers * 2 / 3);
+    }
+}
--- a/test/own_records_test.cc
+++ b/test/own_records_test.cc
@@ -18,7 +18,8 @@
     group.term = 4;
     group.taken_over_at = {3, 120};
     CHECK(decode_group_record(encode_group_record(group)) == group);
-    const host_record host{host_id{"h1"}, 17, "127.0.0.1:7400", {endpoint_id{"a"}}};
+    const host_record host{
+        host_id{"h1"}, 17, "127.0.0.1:7400", data_centre_id{"dc"}, {endpoint_id{"a"}}};
     CHECK(decode_host_record(encode_host_record(host)) == host);
 }
 
--- a/test/primary_replacement_test.cc
+++ b/test/primary_replacement_test.cc
@@ -11,6 +11,8 @@
     primary_health health;
     health.registered = 6;
     health.hosts = 6;
+    health.gateways = 6;
+    health.voters = 6;
     return health;
 }
 
@@ -24,9 +26,9 @@
 TEST_CASE("a primary is replaced when most hosts have lost it") {
     primary_health health = healthy();
     CHECK(decide_replacement(health) == replacement::none);
-    health.hosts_without_primary = 3;
+    health.voters_without_primary = 3;
     CHECK(decide_replacement(health) == replacement::none);
-    health.hosts_without_primary = 4;
+    health.voters_without_primary = 4;
     CHECK(decide_replacement(health) == replacement::urgent);
 }
 
@@ -35,13 +37,29 @@
 TEST_CASE("the view of a few hosts does not replace a primary") {
     primary_health health = healthy();
     health.hosts = 1;
-    health.hosts_without_primary = 1;
+    health.voters = 1;
+    health.voters_without_primary = 1;
     CHECK(decide_replacement(health) == replacement::none);
     health.hosts = 3;
-    health.hosts_without_primary = 2;
+    health.voters = 3;
+    health.voters_without_primary = 2;
     CHECK(decide_replacement(health) == replacement::urgent);
 }
 
+// Guards against a primary that is lost to all hosts that use it, in a fleet of which most do not.
+TEST_CASE("only hosts that connect to a group vote on its primary") {
+    primary_health health = healthy();
+    health.registered = 69;
+    health.hosts = 69;
+    health.gateways = 9;
+    health.voters = 9;
+    health.voters_without_primary = 5;
+    CHECK(decide_replacement(health) == replacement::urgent);
+    health.voters = 4;
+    health.voters_without_primary = 4;
+    CHECK(decide_replacement(health) == replacement::none);
+}
+
 TEST_CASE("a primary that is gone or has stepped down is replaced") {
     primary_health health = healthy();
     health.is_listed = false;
