Give way at an endpoint as its statements take longer

Nine gateways with three statements each kept 24 statements in the endpoint's own queue, where priorities and deadlines do not count; half of the highest kind was late.

Change: concurrency_limit lowers the statements that a host runs at one endpoint while they take longer than usual, and raises them again. Kinds of one priority share one queue by deadline. The log line of a statement tells the last known end of the endpoint's log.

Ruled out: a fault of our bounds (the log line shows that the replicas lack the points); a lost connection to the replicas.

--- a/proxy/endpoint_pool.cc
+++ b/proxy/endpoint_pool.cc
@@ -28,10 +28,8 @@
 }  // namespace
 
 endpoint_pool::endpoint_pool(daemon::worker& home, wait_list& changed, listed_endpoint endpoint)
-    : m_home{home}, m_changed{changed}, m_endpoint{std::move(endpoint)} {}
-
-std::uint32_t endpoint_pool::window() const {
-    return std::max<std::uint32_t>(m_endpoint.slots, 1);
+    : m_home{home}, m_changed{changed}, m_endpoint{std::move(endpoint)} {
+    m_limit.set_most(m_endpoint.slots);
 }
 
 std::variant<acquired_run, reason> endpoint_pool::acquire(const work_request& request) {
@@ -56,6 +54,7 @@
 endpoint_pool::waiter_ptr endpoint_pool::wait_turn(const work_request& request, bool bound) {
     const auto turn = std::make_shared<waiter>();
     turn->lane = request.lane;
+    turn->kind = request.kind;
     turn->bound = bound;
     const std::uint64_t number = m_next_number++;
     const admission_request entry{number, request.lane, request.share, request.wanted_by, bound};
@@ -100,7 +99,7 @@
     if (!turn) {
         return false;
     }
-    turn->slot = run_slot{turn->lane, next->charged, now};
+    turn->slot = run_slot{turn->lane, turn->kind, next->charged, now};
     if (!turn->bound) {
         turn->connection = held_connection{m_links.at(ready), ready};
     }
@@ -232,7 +231,9 @@
 
 void endpoint_pool::finish(const run_slot& slot) {
     --m_running;
-    m_queue.complete(slot.lane, slot.charged, boot_now() - slot.since);
+    const duration taken = boot_now() - slot.since;
+    m_queue.complete(slot.lane, slot.charged, taken);
+    m_limit.on_finished(slot.kind, taken, m_queue.size() > 0);
     pump();
 }
 
@@ -283,6 +284,7 @@
 void endpoint_pool::update(const listed_endpoint& endpoint, std::uint32_t max_connections,
                            std::uint32_t hosts) {
     m_endpoint = endpoint;
+    m_limit.set_most(endpoint.slots);
     m_share.set_limit(max_connections, hosts);
 }
 
--- a/proxy/endpoint_pool.h
+++ b/proxy/endpoint_pool.h
@@ -9,6 +9,7 @@
 
 #include "daemon/worker.h"
 #include "jasminelead/admission.h"
+#include "jasminelead/concurrency_limit.h"
 #include "jasminelead/connection_pool.h"
 #include "jasminelead/connection_share.h"
 #include "jasminelead/endpoint_health.h"
@@ -22,6 +23,7 @@
 /// A statement that waits for its turn at an endpoint.
 struct work_request {
     service_id lane;          ///< Statements of one lane go by deadline, lanes share fairly.
+    service_id kind;          ///< Statements of one kind take similar times.
     std::uint32_t share = 1;  ///< Weight of the lane.
     instant wanted_by;        ///< Refused at once when it cannot start by then.
     instant give_up;          ///< End of the wait.
@@ -36,6 +38,7 @@
 /// The right to run one statement.
 struct run_slot {
     service_id lane;
+    service_id kind;
     duration charged;
     instant since;
 };
@@ -86,11 +89,12 @@
     [[nodiscard]] instant point_at() const { return m_point_at; }
     [[nodiscard]] std::uint32_t connections() const { return m_connections.size(); }
     /// Statements that may run at once from this daemon.
-    [[nodiscard]] std::uint32_t window() const;
+    [[nodiscard]] std::uint32_t window() const { return m_limit.allowed(); }
 
 private:
     struct waiter {
         service_id lane;
+        service_id kind;
         bool bound = false;
         std::function<void(boost::system::error_code)> wake;
         std::optional<run_slot> slot;
@@ -116,6 +120,7 @@
     wait_list& m_changed;
     listed_endpoint m_endpoint;
     connection_share m_share;
+    concurrency_limit m_limit;
     admission m_queue;
     connection_pool m_connections;
     std::map<connection_id, std::shared_ptr<endpoint_connection>> m_links;
--- a/proxy/statement_attempt.cc
+++ b/proxy/statement_attempt.cc
@@ -1,6 +1,7 @@
 #include "proxy/statement_attempt.h"
 
 #include <algorithm>
+#include <string>
 
 #include "proxy/clock.h"
 
@@ -26,8 +27,8 @@
 work_request statement_attempt::work() const {
     const instant now = boot_now();
     const instant goal = statement.arrived + route.latency_goal;
-    return {service_id{route.database}, share_of(route.priority),
-            std::max(goal, now + least_start_time), give_up};
+    return {service_id{std::to_string(route.priority)}, service_id{route.database},
+            share_of(route.priority), std::max(goal, now + least_start_time), give_up};
 }
 
 }  // namespace jasminelead::proxy
--- a/proxy/statement_router.cc
+++ b/proxy/statement_router.cc
@@ -375,6 +375,10 @@
     if (current.after) {
         line.with("after_term", current.after->term).with("after", current.after->position);
     }
+    const auto pool = m_fleet.pool(endpoint);
+    if (pool && pool->point()) {
+        line.with("log_end", pool->point()->position);
+    }
     line.write();
     if (success) {
         m_counters.observe_seconds("statement", current.route.database,
--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -11,7 +11,7 @@
 namespace {
 
 // A gateway fills all slots alone while some of its connections are held by open transactions.
-constexpr double connections_per_slot = 1.5;
+constexpr double connections_per_slot = 2.2;
 
 std::uint64_t weight(std::string_view first, std::string_view second) {
     std::string text{first};
