Let two hosts of each data centre read the store for the others

Change: the two hosts of a data centre with most processor time read the store. The others follow one of them by long polls that carry changes, the age of the store's confirmation and the age of the reader's lease, and read the store themselves when no reader answers. The processor share is a setting and stands in the host's record. Waiters whose deadline has passed leave the wait list.

Ruled out: serializable reads (seconds old, no proof of a lease); longer leases (each second is a second more of a failover).

--- a/include/jasminelead/gateway.h
+++ b/include/jasminelead/gateway.h
@@ -16,6 +16,7 @@
 struct host_place {
     host_id host;
     data_centre_id data_centre;
+    double cpu_share = 1;  ///< Cores that the host has for its daemon.
     bool operator==(const host_place&) const = default;
 };
 
@@ -25,6 +26,9 @@
     std::uint32_t slots = 1;  ///< Statements that it runs at once.
 };
 
+/// Rank of a host among others for a group; the same on all hosts.
+std::uint64_t host_weight(const group_id& group, const host_id& host);
+
 /// All hosts when each can have a connection for every slot; otherwise some of each data centre.
 /// A host that joins or leaves moves the role of few others.
 std::vector<host_place> choose_gateways(const group_id& group, std::span<const host_place> hosts,
--- a/proxy/fleet_state.cc
+++ b/proxy/fleet_state.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "daemon/clock.h"
+#include "jasminelead/store_reader.h"
 #include "proxy/event_log.h"
 
 namespace jasminelead::proxy {
@@ -122,6 +123,10 @@
     return hosts.empty() || hosts.front() == m_self.host;
 }
 
+std::vector<host_id> fleet_state::store_readers() const {
+    return choose_store_readers(m_hosts, m_self);
+}
+
 void fleet_state::update_pool(endpoint_pool& pool, const listed_endpoint& endpoint) {
     const listed_endpoint present = endpoint;
     const group_id& group = present.entry.group;
@@ -138,7 +143,9 @@
 }
 
 void fleet_state::set_hosts(std::vector<host_place> hosts) {
-    const bool has_self = std::find(hosts.begin(), hosts.end(), m_self) != hosts.end();
+    const bool has_self = std::any_of(hosts.begin(), hosts.end(), [this](const auto& place) {
+        return place.host == m_self.host;
+    });
     if (!has_self) {
         hosts.push_back(m_self);
     }
--- a/proxy/fleet_state.h
+++ b/proxy/fleet_state.h
@@ -43,6 +43,8 @@
     void set_hosts(std::vector<host_place> hosts);
     /// Gateways of the group in the order in which this host asks them.
     const std::vector<host_id>& gateways(const group_id& group);
+    /// Hosts that read the store for this one; empty when it reads the store itself.
+    [[nodiscard]] std::vector<host_id> store_readers() const;
     /// True when this host runs the group's statements itself.
     bool is_gateway(const group_id& group);
     /// Ends the use of leaving endpoints that lead no group, or have been leaving for long.
--- a/proxy/gateway_messages.cc
+++ b/proxy/gateway_messages.cc
@@ -50,10 +50,6 @@
             {"max_stale_us", route.max_stale.us()}};
 }
 
-duration duration_of(const json::object& object, std::string_view name) {
-    return duration::from_us(static_cast<std::int64_t>(number_of(object, name).value_or(0)));
-}
-
 std::optional<database_route> decode_route(const json::object& object) {
     auto database = text_of(object, "database");
     const auto group = text_of(object, "group");
@@ -65,10 +61,10 @@
     route.database = std::move(*database);
     route.group = group_id{*group};
     route.policy = *policy;
-    route.statement_timeout = duration_of(object, "timeout_us");
-    route.latency_goal = duration_of(object, "goal_us");
+    route.statement_timeout = duration_of(object, "timeout_us").value_or(duration{});
+    route.latency_goal = duration_of(object, "goal_us").value_or(duration{});
     route.priority = static_cast<std::uint32_t>(number_of(object, "priority").value_or(0));
-    route.max_stale = duration_of(object, "max_stale_us");
+    route.max_stale = duration_of(object, "max_stale_us").value_or(duration{});
     return route;
 }
 
@@ -88,7 +84,7 @@
 std::optional<forwarded_statement> decode_statement(const json::object& object, instant now) {
     auto id = text_of(object, "id");
     auto text = text_of(object, "text");
-    const auto age = number_of(object, "age_us");
+    const auto age = duration_of(object, "age_us");
     if (!id || !text || !age) {
         return std::nullopt;
     }
@@ -96,7 +92,7 @@
     statement.id = std::move(*id);
     statement.text = std::move(*text);
     statement.kind = access_of(object);
-    statement.arrived = now - duration::from_us(static_cast<std::int64_t>(*age));
+    statement.arrived = now - *age;
     if (const json::object* const prepared = object_of(object, "prepared")) {
         statement.prepared =
             prepared_statement{access_of(*prepared), text_of(*prepared, "shape").value_or("")};
--- a/proxy/json_fields.cc
+++ b/proxy/json_fields.cc
@@ -31,6 +31,14 @@
     return number;
 }
 
+std::optional<duration> duration_of(const json::object& object, std::string_view name) {
+    const auto number = number_of(object, name);
+    if (!number) {
+        return std::nullopt;
+    }
+    return duration::from_us(static_cast<std::int64_t>(*number));
+}
+
 std::optional<std::string> text_of(const json::object& object, std::string_view name) {
     const json::value* const value = object.if_contains(name);
     if (value == nullptr || !value->is_string()) {
--- a/proxy/own_records.cc
+++ b/proxy/own_records.cc
@@ -1,6 +1,7 @@
 #include "proxy/own_records.h"
 
 #include <boost/json/serialize.hpp>
+#include <cmath>
 
 #include "proxy/json_fields.h"
 
@@ -14,6 +15,12 @@
 constexpr std::string_view alive_prefix = "jasminelead/alive/";
 constexpr std::string_view stopped_prefix = "jasminelead/stopped/";
 
+constexpr std::uint64_t milli = 1000;
+
+std::uint64_t cpu_milli(double cpu_share) {
+    return static_cast<std::uint64_t>(std::lround(cpu_share * milli));
+}
+
 std::string with_prefix(std::string_view prefix, const std::string& name) {
     return std::string{prefix}.append(name);
 }
@@ -103,6 +110,7 @@
                                         {"incarnation", record.incarnation},
                                         {"peer", record.peer_address},
                                         {"data_centre", record.data_centre.str()},
+                                        {"cpu_milli", cpu_milli(record.cpu_share)},
                                         {"unreachable", std::move(unreachable)}});
 }
 
@@ -117,8 +125,12 @@
     if (!host || !incarnation || !peer) {
         return std::nullopt;
     }
-    const std::string data_centre = text_of(*object, "data_centre").value_or("");
-    host_record record{host_id{*host}, *incarnation, *peer, data_centre_id{data_centre}, {}};
+    host_record record;
+    record.host = host_id{*host};
+    record.incarnation = *incarnation;
+    record.peer_address = *peer;
+    record.data_centre = data_centre_id{text_of(*object, "data_centre").value_or("")};
+    record.cpu_share = static_cast<double>(number_of(*object, "cpu_milli").value_or(milli)) / milli;
     const json::value* const unreachable = object->if_contains("unreachable");
     if (unreachable != nullptr && unreachable->is_array()) {
         for (const json::value& endpoint : unreachable->get_array()) {
--- a/proxy/own_records.h
+++ b/proxy/own_records.h
@@ -28,6 +28,7 @@
     incarnation_number incarnation = 0;
     std::string peer_address;
     data_centre_id data_centre;
+    double cpu_share = 1;
     std::set<endpoint_id> unreachable;  ///< Endpoints to which it cannot open a connection.
     bool operator==(const host_record&) const = default;
 };
--- a/proxy/peer_messages.cc
+++ b/proxy/peer_messages.cc
@@ -46,7 +46,8 @@
                                         {"incarnation", question.incarnation},
                                         {"known", question.known},
                                         {"unreachable", std::move(unreachable)},
-                                        {"stopped_use", std::move(stopped)}});
+                                        {"stopped_use", std::move(stopped)},
+                                        {"hold_us", question.hold.us()}});
 }
 
 std::optional<peer_question> decode_question(std::string_view text) {
@@ -64,7 +65,8 @@
     if (!complete) {
         return std::nullopt;
     }
-    peer_question question{host_id{*host}, *incarnation, *known, {}, {}};
+    peer_question question{host_id{*host}, *incarnation, *known, {}, {}, {}};
+    question.hold = duration_of(*object, "hold_us").value_or(duration{});
     for (const json::value& endpoint : unreachable->get_array()) {
         if (endpoint.is_string()) {
             question.unreachable.emplace(endpoint.get_string().c_str());
@@ -85,9 +87,14 @@
     }
     json::object object{{"knows_sender", answer.knows_sender},
                         {"is_replacing", answer.is_replacing},
+                        {"held_us", answer.held.us()},
+                        {"complete_up_to", answer.complete_up_to},
                         {"changes", std::move(changes)}};
     if (answer.confirmed_age) {
-        object.emplace("confirmed_age_us", static_cast<std::uint64_t>(answer.confirmed_age->us()));
+        object.emplace("confirmed_age_us", answer.confirmed_age->us());
+    }
+    if (answer.lease_age) {
+        object.emplace("lease_age_us", answer.lease_age->us());
     }
     return json::serialize(object);
 }
@@ -104,9 +111,10 @@
     peer_answer answer;
     answer.knows_sender = flag_of(*object, "knows_sender");
     answer.is_replacing = flag_of(*object, "is_replacing");
-    if (const auto age = number_of(*object, "confirmed_age_us")) {
-        answer.confirmed_age = duration::from_us(static_cast<std::int64_t>(*age));
-    }
+    answer.confirmed_age = duration_of(*object, "confirmed_age_us");
+    answer.lease_age = duration_of(*object, "lease_age_us");
+    answer.held = duration_of(*object, "held_us").value_or(duration{});
+    answer.complete_up_to = number_of(*object, "complete_up_to").value_or(0);
     for (const json::value& value : changes->get_array()) {
         auto change = decode_change(value);
         if (!change) {
--- a/proxy/peer_messages.h
+++ b/proxy/peer_messages.h
@@ -20,6 +20,7 @@
     std::set<endpoint_id> unreachable;
     /// Revisions of records of which the sender no longer uses the primary.
     std::map<group_id, revision_number> stopped_use;
+    duration hold;  ///< How long the answer may wait for a change.
 };
 
 struct peer_answer {
@@ -28,6 +29,11 @@
     bool is_replacing = false;  ///< It is replacing a primary now.
     /// Time since the store was last known to hold the records that the answering host knows.
     std::optional<duration> confirmed_age;
+    /// Time since the moment that the answering host's own lease proves.
+    std::optional<duration> lease_age;
+    duration held;  ///< Time from the question to the answer; the ages are those at the answer.
+    /// The answering host knows all changes up to this revision; 0 when it is not sure.
+    revision_number complete_up_to = 0;
     std::vector<platform::store_change> changes;
 };
 
--- a/proxy/peer_sync.cc
+++ b/proxy/peer_sync.cc
@@ -14,8 +14,11 @@
 
 // The store has missed more than one confirmation.
 constexpr duration store_patience = 800_ms;
+// A host that follows a reader learns of each confirmation later.
+constexpr duration follower_patience = 1100_ms;
 constexpr duration round_interval = 200_ms;
 constexpr duration answer_timeout = 180_ms;
+constexpr duration longest_hold = 500_ms;
 constexpr duration told_lifetime = 2_s;
 constexpr duration cleanup_interval = 500_ms;
 constexpr duration removal_timeout = 1_s;
@@ -51,7 +54,7 @@
 void peer_sync::run() {
     while (!m_stopped) {
         const instant begun = boot_now();
-        if (m_sync.confirmed_age(begun) > store_patience) {
+        if (needs_peers(begun)) {
             ask_all();
         } else {
             m_vouched_before = false;
@@ -61,12 +64,21 @@
     }
 }
 
+/// A host that follows a reader gets its lease from it, whether by the store or by the peers.
+bool peer_sync::needs_peers(instant now) const {
+    if (m_sync.is_following(now)) {
+        return m_fleet.lease.age(now) > follower_patience;
+    }
+    return m_sync.confirmed_age(now) > store_patience;
+}
+
 /// Removes the registrations of hosts that are gone for good. One that is alive and was only cut
 /// off registers again; until then it has no lease.
 void peer_sync::run_cleanup() {
     while (!m_stopped) {
         boost::this_fiber::sleep_until(to_steady(boot_now() + cleanup_interval));
-        if (m_sync.confirmed_age(boot_now()) < store_patience) {
+        const instant now = boot_now();
+        if (!m_sync.is_following(now) && m_sync.confirmed_age(now) < store_patience) {
             remove_lost_hosts();
         }
     }
@@ -127,8 +139,8 @@
 
 peer_question peer_sync::make_question() const {
     const host_record& own = m_sync.own_record();
-    return {m_self, own.incarnation, m_sync.records().revision(), own.unreachable,
-            m_sync.stopped_use()};
+    return {m_self,          own.incarnation,      m_sync.records().revision(),
+            own.unreachable, m_sync.stopped_use(), duration{}};
 }
 
 void peer_sync::ask_all() {
@@ -199,6 +211,14 @@
     }
 }
 
+/// Suspends the fiber until there are changes that the sender does not know.
+void peer_sync::hold(const peer_question& question, instant asked) {
+    const instant end = asked + std::min(question.hold, longest_hold);
+    while (boot_now() < end && m_sync.complete_up_to() <= question.known) {
+        m_fleet.changed.wait(to_steady(end));
+    }
+}
+
 std::optional<std::string> peer_sync::answer(std::string_view text) {
     const auto question = decode_question(text);
     if (!question) {
@@ -208,7 +228,15 @@
     for (const auto& [group, revision] : question->stopped_use) {
         m_sync.records().note_stopped(group, question->host, revision);
     }
+    const instant asked = boot_now();
+    hold(*question, asked);
     peer_answer reply;
+    reply.held = boot_now() - asked;
+    reply.complete_up_to = m_sync.complete_up_to();
+    const duration lease_age = m_fleet.lease.age(boot_now());
+    if (lease_age < duration::max()) {
+        reply.lease_age = lease_age;
+    }
     reply.knows_sender = m_sync.has_confirmed(question->host, question->incarnation);
     reply.is_replacing = m_is_replacing;
     const duration age = m_sync.confirmed_age(boot_now());
--- a/proxy/peer_sync.h
+++ b/proxy/peer_sync.h
@@ -53,6 +53,8 @@
     };
 
     void run();
+    [[nodiscard]] bool needs_peers(instant now) const;
+    void hold(const peer_question& question, instant asked);
     void run_cleanup();
     void remove_lost_hosts();
     bool is_answering(const std::string& address);
--- /dev/null
+++ b/proxy/record_follower.cc
@@ -0,0 +1,117 @@
+#include "proxy/record_follower.h"
+
+#include <boost/fiber/operations.hpp>
+
+#include "jasminelead/store_reader.h"
+#include "proxy/clock.h"
+#include "proxy/event_log.h"
+
+namespace jasminelead::proxy {
+namespace {
+
+using namespace literals;
+
+// A reader answers at once when it has something new, and otherwise after this time.
+constexpr duration longest_hold = 250_ms;
+constexpr duration answer_timeout = 200_ms;
+constexpr duration idle_poll = 200_ms;
+// After no reader has answered, the store is read directly for this long.
+constexpr duration direct_time = 1_s;
+constexpr duration longest_idle = 1_s;
+constexpr std::size_t most_idle_connections = 1;
+// A reader whose proof is older tells no more than the peers do.
+constexpr duration oldest_proof = 1_s;
+
+}  // namespace
+
+record_follower::record_follower(fleet_state& fleet, store_sync& sync, daemon::metrics& counters)
+    : m_fleet{fleet},
+      m_sync{sync},
+      m_counters{counters},
+      m_pool{fleet.home().io(), most_idle_connections, longest_idle} {}
+
+void record_follower::start() {
+    m_fleet.home().spawn([this] { run(); });
+}
+
+void record_follower::run() {
+    while (!m_stopped) {
+        const auto readers = m_fleet.store_readers();
+        if (readers.empty() || !m_sync.can_follow()) {
+            note_reader(host_id{});
+            boost::this_fiber::sleep_until(to_steady(boot_now() + idle_poll));
+        } else if (!follow(readers)) {
+            note_reader(host_id{});
+            boost::this_fiber::sleep_until(to_steady(boot_now() + direct_time));
+        }
+    }
+}
+
+bool record_follower::follow(const std::vector<host_id>& readers) {
+    for (const host_id& reader : readers) {
+        if (ask(reader)) {
+            note_reader(reader);
+            return true;
+        }
+    }
+    return false;
+}
+
+bool record_follower::ask(const host_id& reader) {
+    const auto& hosts = m_sync.records().hosts();
+    const auto found = hosts.find(reader);
+    if (found == hosts.end()) {
+        return false;
+    }
+    const std::string address = found->second.peer_address;
+    const host_record& own = m_sync.own_record();
+    const peer_question question{own.host,        own.incarnation,      m_sync.complete_up_to(),
+                                 own.unreachable, m_sync.stopped_use(), longest_hold};
+    const std::string body = encode_question(question);
+    const instant sent = boot_now();
+    daemon::http_call call;
+    call.address = address;
+    call.target = "/peer/exchange";
+    call.body = body;
+    call.deadline = to_steady(sent + longest_hold + answer_timeout);
+    call.connect_deadline = to_steady(sent + answer_timeout);
+    const auto result = m_pool.call(call);
+    const auto* const response = std::get_if<daemon::http_response>(&result);
+    const bool ok = response != nullptr && response->status == 200;
+    const auto answer = ok ? decode_answer(response->body) : std::nullopt;
+    const bool applied = answer && apply(*answer, sent);
+    m_counters.count("reader_answers", applied ? "used" : "unusable");
+    return applied;
+}
+
+/// A proof of the reader holds here as well: whoever replaces a primary asks all hosts that are
+/// registered, and this one has to be among them.
+bool record_follower::apply(const peer_answer& answer, instant sent) {
+    const instant answered = sent + answer.held;
+    const bool is_proven = answer.knows_sender && answer.lease_age &&
+                           *answer.lease_age < oldest_proof && answer.complete_up_to > 0;
+    if (!is_proven) {
+        return false;
+    }
+    for (const platform::store_change& change : answer.changes) {
+        m_sync.records().apply(change);
+    }
+    const bool by_store = answer.confirmed_age && *answer.confirmed_age < oldest_proof;
+    m_sync.on_followed(answer.complete_up_to, answered - *answer.lease_age,
+                       by_store ? std::optional{answered - *answer.confirmed_age} : std::nullopt);
+    return true;
+}
+
+void record_follower::note_reader(const host_id& reader) {
+    if (reader == m_reader) {
+        return;
+    }
+    m_reader = reader;
+    log_line{log_class::change, "store_reader"}
+        .with("reader", reader)
+        .with("complete_up_to", m_sync.complete_up_to())
+        .with("confirmed_age_ms", m_sync.confirmed_age(boot_now()))
+        .write();
+}
+
+}  // namespace jasminelead::proxy
--- a/proxy/record_mirror.cc
+++ b/proxy/record_mirror.cc
@@ -73,10 +73,13 @@
 std::vector<platform::store_change> record_mirror::changes_since(revision_number since) const {
     std::vector<platform::store_change> changes;
     for (const auto& [key, item] : m_items) {
+        if (item.revision <= since) {
+            continue;
+        }
         // Records that daemons and operators write are ASCII; others are unreadable.
         const bool is_text = !item.value || std::all_of(item.value->begin(), item.value->end(),
                                                         [](char c) { return c > 0; });
-        if (item.revision > since && is_text) {
+        if (is_text) {
             changes.push_back({key, item.revision, item.value});
         }
     }
@@ -196,7 +199,7 @@
     std::vector<host_place> result;
     for (const auto& [host, record] : m_hosts) {
         if (!most_live || live.contains(host)) {
-            result.push_back({host, record.data_centre});
+            result.push_back({host, record.data_centre, record.cpu_share});
         }
     }
     return result;
--- a/proxy/session_daemon.cc
+++ b/proxy/session_daemon.cc
@@ -26,10 +26,11 @@
 
 session_daemon::session_daemon(settings options)
     : m_settings{std::move(options)},
-      m_fleet{m_home, {m_settings.host, m_settings.data_centre}},
+      m_fleet{m_home, {m_settings.host, m_settings.data_centre, m_settings.cpu_share}},
       m_mirror{m_fleet, m_counters},
       m_sync{m_fleet, m_mirror, m_counters, m_settings},
       m_peers{m_fleet, m_sync, m_counters, m_settings},
+      m_follower{m_fleet, m_sync, m_counters},
       m_failover{m_fleet, m_sync, m_peers, m_counters, m_settings},
       m_router{m_fleet, m_counters},
       m_gateways{m_fleet, m_mirror, m_counters},
@@ -70,6 +71,7 @@
     m_home.post([this] {
         m_sync.start();
         m_peers.start();
+        m_follower.start();
         m_failover.start();
         m_gateways.start();
         m_gateway.start();
@@ -241,6 +243,7 @@
     close_listeners();
     m_sync.stop();
     m_peers.stop();
+    m_follower.stop();
     m_failover.stop();
     m_gateways.stop();
     m_gateway.stop();
--- a/proxy/session_daemon.h
+++ b/proxy/session_daemon.h
@@ -12,6 +12,7 @@
 #include "proxy/gateway_client.h"
 #include "proxy/gateway_server.h"
 #include "proxy/peer_sync.h"
+#include "proxy/record_follower.h"
 #include "proxy/session.h"
 #include "proxy/settings.h"
 #include "proxy/statement_dispatcher.h"
@@ -68,6 +69,7 @@
     record_mirror m_mirror;
     store_sync m_sync;
     peer_sync m_peers;
+    record_follower m_follower;
     failover_agent m_failover;
     statement_router m_router;
     gateway_client m_gateways;
--- a/proxy/settings.cc
+++ b/proxy/settings.cc
@@ -79,11 +79,13 @@
 };
 
 settings read_members(reader& members) {
+    constexpr double most_cores = 1024;
     constexpr double most_port = 65535;
     constexpr double most_grace_ms = 600'000;
     settings result;
     result.host = host_id{members.text("host")};
     result.data_centre = data_centre_id{members.text("data_centre")};
+    result.cpu_share = members.number_or("cpu_share", 1, 0.001, most_cores);
     result.listen = members.address("listen");
     result.readiness = members.address("readiness");
     result.address = members.text("address");
--- a/proxy/settings.h
+++ b/proxy/settings.h
@@ -14,6 +14,7 @@
 struct settings {
     host_id host;
     data_centre_id data_centre;
+    double cpu_share = 1;            ///< Cores that the host has for the daemon.
     std::string listen;              ///< Address for callers, IP address and port.
     std::string readiness;           ///< Address of the readiness page.
     std::string address;             ///< IP address of the host.
--- a/proxy/store_sync.cc
+++ b/proxy/store_sync.cc
@@ -28,6 +28,9 @@
 constexpr duration alive_interval = 500_ms;
 // A host that was cut off knows the others' views again after this time.
 constexpr duration catch_up_time = 1_s;
+// A reader answers several times within this time.
+constexpr duration follow_patience = 600_ms;
+constexpr duration follow_poll = 100_ms;
 constexpr duration publish_interval = 100_ms;
 // Statements in progress at a primary that is replaced get this time to end.
 constexpr duration statement_patience = 300_ms;
@@ -53,8 +56,9 @@
       m_mirror{mirror},
       m_counters{counters},
       m_self{options.host},
-      m_own_record{
-          options.host, daemon::wall_clock_incarnation(), options.peer, options.data_centre, {}},
+      m_own_record{options.host,      daemon::wall_clock_incarnation(),
+                   options.peer,      options.data_centre,
+                   options.cpu_share, {}},
       m_store{fleet.home().io(), options.store} {}
 
 void store_sync::start() {
@@ -84,6 +88,10 @@
 
 void store_sync::run_watch() {
     while (!m_stopped) {
+        if (is_following(boot_now())) {
+            pause(follow_poll);
+            continue;
+        }
         const bool ok = m_watched ? watch_once() : load();
         if (!ok) {
             pause(retry_pause);
@@ -167,7 +175,9 @@
             note_earlier_registration();
             register_host();
         }
-        confirm();
+        if (!is_following(boot_now())) {
+            confirm();
+        }
         m_mirror.drop_departed();
         m_fleet.retire_leaving(boot_now());
         m_fleet.set_hosts(m_mirror.places(boot_now()));
@@ -215,13 +225,39 @@
     if (!m_first_confirmed) {
         m_first_confirmed = boot_now();
     }
+    prove_lease(sent);
+}
+
+void store_sync::prove_lease(instant at) {
     const bool was_current = m_fleet.lease.is_current(boot_now());
-    m_fleet.lease.confirm(sent);
-    if (!was_current) {
+    m_fleet.lease.confirm(at);
+    if (!was_current && m_fleet.lease.is_current(boot_now())) {
         m_fleet.changed.notify_all();
     }
 }
 
+bool store_sync::is_following(instant now) const {
+    return m_followed && *m_followed + follow_patience > now;
+}
+
+void store_sync::on_followed(revision_number revision, instant proven,
+                             std::optional<instant> confirmed) {
+    m_followed = boot_now();
+    m_behind_since.reset();
+    m_watched = std::max(m_watched.value_or(0), revision);
+    m_confirmed_hosts.clear();
+    for (const auto& [host, record] : m_mirror.hosts()) {
+        if (m_mirror.is_registered(host)) {
+            m_confirmed_hosts[host] = record.incarnation;
+        }
+    }
+    if (confirmed) {
+        on_confirmed(*confirmed);
+    }
+    prove_lease(proven);
+    acknowledge_changes();
+}
+
 /// Reloads when the store has changed and the watch does not tell.
 void store_sync::check_watch(revision_number store_revision, instant sent) {
     const bool behind = m_watched && *m_watched < store_revision;
--- a/proxy/store_sync.h
+++ b/proxy/store_sync.h
@@ -41,6 +41,15 @@
     [[nodiscard]] duration confirmed_age(instant now) const;
     /// True when the last confirmed listing named this incarnation of the host.
     [[nodiscard]] bool has_confirmed(const host_id& host, incarnation_number incarnation) const;
+    /// True once this host is registered and knows all records, so that it can follow a reader.
+    [[nodiscard]] bool can_follow() const { return m_registered && m_watched && m_confirmed; }
+    /// True while a reader hands on the records, so that the store is not asked.
+    [[nodiscard]] bool is_following(instant now) const;
+    /// All changes up to this revision are known; 0 before the first complete listing.
+    [[nodiscard]] revision_number complete_up_to() const { return m_watched.value_or(0); }
+    /// A reader has handed on all changes up to `revision`. It proved its lease at `proven`, and
+    /// the store had last confirmed the records at `confirmed`.
+    void on_followed(revision_number revision, instant proven, std::optional<instant> confirmed);
     /// Revisions of replaced primaries' records that this host acts upon, by group.
     [[nodiscard]] const std::map<group_id, revision_number>& stopped_use() const {
         return m_stopped_use;
@@ -56,6 +65,7 @@
     bool load_prefix(std::string_view prefix, std::set<std::string>& seen);
     bool load_config();
     void on_confirmed(instant sent);
+    void prove_lease(instant at);
     void check_watch(revision_number store_revision, instant sent);
     void run_keep_alive();
     bool keep_alive();
@@ -78,6 +88,7 @@
     std::map<group_id, revision_number> m_acknowledged;
     std::map<group_id, revision_number> m_stopped_use;
     std::optional<revision_number> m_watched;  ///< Changes up to here were received.
+    std::optional<instant> m_followed;         ///< Last answer of a reader.
     std::optional<instant> m_behind_since;
     std::optional<instant> m_first_confirmed;
     std::optional<instant> m_steady_since;  ///< The store has answered since then.
--- a/proxy/wait_list.h
+++ b/proxy/wait_list.h
@@ -1,9 +1,10 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
+#include <cstdint>
 #include <functional>
+#include <map>
 #include <utility>
-#include <vector>
 
 #include "daemon/fiber_stream.h"
 
@@ -18,20 +19,22 @@
 
     /// False when the deadline passed first.
     bool wait(steady_time deadline) {
+        const std::uint64_t number = m_next_number++;
         const auto error = daemon::await_operation(
-            m_io, deadline, [this](auto handler) { m_waiters.emplace_back(std::move(handler)); });
+            m_io, deadline, [&](auto handler) { m_waiters.emplace(number, std::move(handler)); });
+        m_waiters.erase(number);
         return !error;
     }
     void notify_all() {
-        for (auto& waiter : std::exchange(m_waiters, {})) {
+        for (auto& [number, waiter] : std::exchange(m_waiters, {})) {
             waiter(boost::system::error_code{});
         }
     }
 
 private:
     boost::asio::io_context& m_io;
-    // A waiter whose deadline passed stays here until the next change; calling it has no effect.
-    std::vector<std::function<void(boost::system::error_code)>> m_waiters;
+    std::uint64_t m_next_number = 0;
+    std::map<std::uint64_t, std::function<void(boost::system::error_code)>> m_waiters;
 };
 
 }  // namespace jasminelead::proxy
--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -37,6 +37,10 @@
 
 }  // namespace
 
+std::uint64_t host_weight(const group_id& group, const host_id& host) {
+    return weight(group.str(), host.str());
+}
+
 std::vector<host_place> choose_gateways(const group_id& group, std::span<const host_place> hosts,
                                         const endpoint_capacity& capacity) {
     if (hosts.size() * capacity.slots <= capacity.max_connections) {
@@ -48,7 +52,7 @@
     for (auto& [data_centre, local] : groups) {
         const std::size_t count = std::min(each, local.size());
         const auto rank = [&group](const host_place& place) {
-            return std::tuple{weight(group.str(), place.host.str()), place.host};
+            return std::tuple{host_weight(group, place.host), place.host};
         };
         std::partial_sort(local.begin(), local.begin() + static_cast<std::ptrdiff_t>(count),
                           local.end(),
--- a/test/gateway_test.cc
+++ b/test/gateway_test.cc
@@ -13,7 +13,7 @@
     std::vector<host_place> places;
     for (int i = 0; i < hosts; ++i) {
         places.push_back({host_id{"h" + std::to_string(i)},
-                          data_centre_id{"dc-" + std::to_string(i % data_centres)}});
+                          data_centre_id{"dc-" + std::to_string(i % data_centres)}, 1});
     }
     return places;
 }
--- a/test/own_records_test.cc
+++ b/test/own_records_test.cc
@@ -18,8 +18,8 @@
     group.term = 4;
     group.taken_over_at = {3, 120};
     CHECK(decode_group_record(encode_group_record(group)) == group);
-    const host_record host{
-        host_id{"h1"}, 17, "127.0.0.1:7400", data_centre_id{"dc"}, {endpoint_id{"a"}}};
+    const host_record host{host_id{"h1"},        17,   "127.0.0.1:7400",
+                           data_centre_id{"dc"}, 0.25, {endpoint_id{"a"}}};
     CHECK(decode_host_record(encode_host_record(host)) == host);
 }
 
@@ -40,20 +40,27 @@
 
 TEST_CASE("peer messages survive encoding") {
     const peer_question question{
-        host_id{"h1"}, 17, 99, {endpoint_id{"a"}}, {{group_id{"shows"}, 5}}};
+        host_id{"h1"}, 17, 99, {endpoint_id{"a"}}, {{group_id{"shows"}, 5}}, 250_ms};
     const auto asked = decode_question(encode_question(question));
     REQUIRE(asked);
     CHECK(asked->known == 99);
+    CHECK(asked->hold == 250_ms);
     CHECK(asked->unreachable == question.unreachable);
     CHECK(asked->stopped_use == question.stopped_use);
     peer_answer answer;
     answer.knows_sender = true;
     answer.confirmed_age = 30_ms;
+    answer.lease_age = 40_ms;
+    answer.held = 5_ms;
+    answer.complete_up_to = 8;
     answer.changes = {{"k", 7, "v"}, {"gone", 8, std::nullopt}};
     const auto told = decode_answer(encode_answer(answer));
     REQUIRE(told);
     CHECK(told->knows_sender);
     CHECK(told->confirmed_age == 30_ms);
+    CHECK(told->lease_age == 40_ms);
+    CHECK(told->held == 5_ms);
+    CHECK(told->complete_up_to == 8);
     REQUIRE(told->changes.size() == 2);
     CHECK(told->changes[0].value == "v");
     CHECK_FALSE(told->changes[1].value);
--- /dev/null
+++ b/test/store_reader_test.cc
@@ -0,0 +1,44 @@
+#include "jasminelead/store_reader.h"
+
+#include <catch2/catch.hpp>
+#include <map>
+
+using namespace jasminelead;
+
+namespace {
+
+std::vector<host_place> fleet(int hosts) {
+    std::vector<host_place> places;
+    for (int i = 0; i < hosts; ++i) {
+        places.push_back({host_id{"h" + std::to_string(i)},
+                          data_centre_id{"dc-" + std::to_string(i % 3)}, i < 6 ? 0.5 : 0.12});
+    }
+    return places;
+}
+
+}  // namespace
+
+TEST_CASE("hosts of a small data centre all read the store") {
+    const auto hosts = fleet(6);
+    for (const host_place& host : hosts) {
+        CHECK(choose_store_readers(hosts, host).empty());
+    }
+}
+
+// Guards against calls of the store that grow with the fleet.
+TEST_CASE("two hosts of each data centre read the store, those with most processor time") {
+    const auto hosts = fleet(69);
+    std::map<host_id, int> followers;
+    for (const host_place& host : hosts) {
+        const auto readers = choose_store_readers(hosts, host);
+        if (!readers.empty()) {
+            CHECK(readers.size() == 2);
+            ++followers[readers.front()];
+        }
+    }
+    CHECK(followers.size() == 6);
+    for (int i = 0; i < 6; ++i) {
+        CHECK(choose_store_readers(hosts, hosts[i]).empty());
+        CHECK(followers[hosts[i].host] > 5);
+    }
+}
