--- /dev/null
+++ b/test/session_fleet.h
@@ -0,0 +1,166 @@
+#pragma once
+
+#include <array>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/streambuf.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+#include <istream>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "proxy/session_daemon.h"
+#include "session_endpoint.h"
+#include "session_platform.h"
+
+/// Daemons that serve sessions, in front of stand-ins.
+namespace jasminelead::test {
+
+using namespace literals;
+using support::session_endpoint;
+using support::session_group_state;
+using support::session_platform;
+
+using tcp = boost::asio::ip::tcp;
+
+inline std::string free_address() {
+    boost::asio::io_context io;
+    tcp::acceptor probe{io, {boost::asio::ip::address_v4::loopback(), 0}};
+    return "127.0.0.1:" + std::to_string(probe.local_endpoint().port());
+}
+
+inline std::string config_text(int version, int max_connections = 8) {
+    return R"({"version":)" + std::to_string(version) + R"(,"routes":[
+      {"name":"r1","host":"pay","type":"primary","timeoutMs":1500,"goalMs":150,"priority":1,
+       "service":"shows"},
+      {"name":"r2","host":"view","type":"bounded_stale","timeoutMs":1500,"goalMs":500,
+       "priority":2,"service":"shows","maxStaleMs":1500}],
+      "services":[{"name":"shows","maxConns":)" +
+           std::to_string(max_connections) + R"(}],"limits":{"txIdleMs":3000}})";
+}
+
+/// One caller. Reads the answer up to its ready line.
+class caller {
+public:
+    caller(std::uint16_t port, const std::string& database) : m_socket{m_io} {
+        m_socket.connect({boost::asio::ip::address_v4::loopback(), port});
+        m_first = exchange("STARTUP " + database + " u1");
+    }
+    std::string query(const std::string& text) {
+        return exchange("QUERY q" + std::to_string(++m_number) + " " + text);
+    }
+    [[nodiscard]] const std::string& first() const { return m_first; }
+
+private:
+    std::string exchange(const std::string& line) {
+        boost::asio::write(m_socket, boost::asio::buffer(line + "\r\n"));
+        std::string all;
+        for (;;) {
+            boost::system::error_code error;
+            boost::asio::read_until(m_socket, m_buffer, "\r\n", error);
+            if (error) {
+                return all + "closed";
+            }
+            std::istream stream{&m_buffer};
+            std::string answer;
+            std::getline(stream, answer);
+            answer.pop_back();
+            all += answer + "|";
+            if (answer.starts_with("READY")) {
+                return all;
+            }
+        }
+    }
+
+    boost::asio::io_context m_io;
+    tcp::socket m_socket;
+    boost::asio::streambuf m_buffer;
+    std::string m_first;
+    int m_number = 0;
+};
+
+/// A platform with one group of three endpoints, and some daemons.
+class fleet {
+public:
+    explicit fleet(int hosts = 1, int max_connections = 8) {
+        for (const char* id : {"i-a", "i-b", "i-c"}) {
+            m_endpoints.push_back(std::make_unique<session_endpoint>(m_group, "shows", id));
+        }
+        m_group->primary = "i-a";
+        for (const auto& endpoint : m_endpoints) {
+            list(*endpoint, endpoint->id() == "i-a" ? "primary" : "replica", "ready");
+        }
+        m_platform.put("op/config", config_text(3, max_connections));
+        m_platform.on_promotion([this](const std::string&, const std::string& id) {
+            const std::lock_guard lock{m_group->lock};
+            m_group->primary = id;
+            ++m_group->term;
+        });
+        for (int host = 0; host < hosts; ++host) {
+            start_host(host);
+        }
+        for (int host = 0; host < hosts; ++host) {
+            wait_until_served(host);
+        }
+    }
+
+    [[nodiscard]] std::uint16_t port(std::size_t host = 0) const { return m_daemons[host]->port(); }
+    session_endpoint& endpoint(std::size_t index) { return *m_endpoints[index]; }
+    session_platform& platform() { return m_platform; }
+    proxy::session_daemon& daemon(std::size_t host = 0) { return *m_daemons[host]; }
+    void list(const session_endpoint& endpoint, const std::string& role, const std::string& state) {
+        m_platform.put("servers/" + endpoint.id(),
+                       R"({"service":"shows","addr":")" + endpoint.address() +
+                           R"(","zone":"dc","version":"v1","slots":3,"state":")" + state +
+                           R"(","coldLeftMs":0,"dbRole":")" + role + R"(","seq":1})");
+    }
+    std::vector<std::string> log() {
+        const std::lock_guard lock{m_group->lock};
+        return m_group->log;
+    }
+    /// How many queries with this text were run, by whichever endpoint.
+    std::size_t runs(const std::string& text) {
+        std::size_t count = 0;
+        for (const std::string& line : log()) {
+            count += line.ends_with(text) ? 1 : 0;
+        }
+        return count;
+    }
+
+private:
+    void start_host(int host) {
+        proxy::settings options;
+        options.host = host_id{"h" + std::to_string(host + 1)};
+        options.data_centre = data_centre_id{"dc"};
+        options.listen = "127.0.0.1:0";
+        options.readiness = free_address();
+        options.address = "127.0.0.1";
+        options.peer = free_address();
+        options.store = m_platform.address();
+        options.promotion = m_platform.address();
+        options.stop_grace = 400_ms;
+        m_daemons.push_back(std::make_unique<proxy::session_daemon>(options));
+        REQUIRE_FALSE(m_daemons.back()->start());
+    }
+    void wait_until_served(int host) {
+        for (int i = 0; i < 200; ++i) {
+            caller probe{port(static_cast<std::size_t>(host)), "pay"};
+            if (probe.first() == "READY I -|" &&
+                probe.query("READ probe").find("DONE") != std::string::npos) {
+                return;
+            }
+            std::this_thread::sleep_for(std::chrono::milliseconds{20});
+        }
+        FAIL("the daemon does not serve");
+    }
+
+    std::shared_ptr<session_group_state> m_group = std::make_shared<session_group_state>();
+    std::vector<std::unique_ptr<session_endpoint>> m_endpoints;
+    session_platform m_platform;
+    std::vector<std::unique_ptr<proxy::session_daemon>> m_daemons;
+};
+
+}  // namespace jasminelead::test
