Let only store readers ask all peers and remove lost hosts

At 39.6 s 770 connections between hosts timed out.

Change: readers ask all hosts; the others ask the readers of all data centres and take the reader's proof. Only readers remove hosts, and forget losses while they do not look. A follower whose reader has lost the store asks the store itself. A host that nothing confirms refuses at once, but ends its sessions only when most peers are silent too.

Ruled out: processor time (0.037 cores at most); the partition of 3.9 to 10.9 s, in which 50 hosts reach neither the store nor the 19 that do.

--- a/include/jasminelead/store_reader.h
+++ b/include/jasminelead/store_reader.h
@@ -17,4 +17,7 @@
 std::vector<host_id> choose_store_readers(std::span<const host_place> hosts,
                                           const host_place& self);
 
+/// Readers of all data centres.
+std::vector<host_id> all_store_readers(std::span<const host_place> hosts);
+
 }  // namespace jasminelead
--- a/proxy/fleet_state.cc
+++ b/proxy/fleet_state.cc
@@ -4,7 +4,6 @@
 #include <utility>
 
 #include "daemon/clock.h"
-#include "jasminelead/store_reader.h"
 #include "proxy/event_log.h"
 
 namespace jasminelead::proxy {
--- a/proxy/fleet_state.h
+++ b/proxy/fleet_state.h
@@ -11,6 +11,7 @@
 #include "jasminelead/primary_lease.h"
 #include "jasminelead/read_bounds.h"
 #include "jasminelead/routing_config.h"
+#include "jasminelead/store_reader.h"
 #include "proxy/endpoint_pool.h"
 #include "proxy/wait_list.h"
 
@@ -45,6 +46,8 @@
     const std::vector<host_id>& gateways(const group_id& group);
     /// Hosts that read the store for this one; empty when it reads the store itself.
     [[nodiscard]] std::vector<host_id> store_readers() const;
+    /// All hosts that read the store.
+    [[nodiscard]] std::vector<host_id> all_readers() const { return all_store_readers(m_hosts); }
     /// True when this host runs the group's statements itself.
     bool is_gateway(const group_id& group);
     /// Ends the use of leaving endpoints that lead no group, or have been leaving for long.
--- a/proxy/peer_sync.cc
+++ b/proxy/peer_sync.cc
@@ -77,9 +77,11 @@
 void peer_sync::run_cleanup() {
     while (!m_stopped) {
         boost::this_fiber::sleep_until(to_steady(boot_now() + cleanup_interval));
-        const instant now = boot_now();
-        if (!m_sync.is_following(now) && m_sync.confirmed_age(now) < store_patience) {
+        const bool is_reader = m_fleet.store_readers().empty();
+        if (is_reader && m_sync.confirmed_age(boot_now()) < store_patience) {
             remove_lost_hosts();
+        } else {
+            m_lost_since.clear();
         }
     }
 }
@@ -123,8 +125,12 @@
     return response != nullptr && response->status == 200;
 }
 
+bool peer_sync::is_unconfirmed(instant now) const {
+    return m_lonely_rounds >= isolated_rounds && needs_peers(now);
+}
+
 bool peer_sync::is_isolated(instant now) const {
-    return m_lonely_rounds >= isolated_rounds && m_sync.confirmed_age(now) > store_patience;
+    return is_unconfirmed(now) && m_few_answer;
 }
 
 std::vector<std::string> peer_sync::peer_addresses() const {
@@ -137,6 +143,20 @@
     return addresses.empty() ? m_seeds : addresses;
 }
 
+/// Load pattern: the store is away from a large fleet. If each host asked all others, the answers
+/// would use up the processors; the readers ask all, and the others ask the readers.
+std::vector<std::string> peer_sync::reader_addresses() const {
+    std::vector<std::string> addresses;
+    const auto& hosts = m_sync.records().hosts();
+    for (const host_id& reader : m_fleet.all_readers()) {
+        const auto found = hosts.find(reader);
+        if (found != hosts.end() && reader != m_self) {
+            addresses.push_back(found->second.peer_address);
+        }
+    }
+    return addresses;
+}
+
 peer_question peer_sync::make_question() const {
     const host_record& own = m_sync.own_record();
     return {m_self,          own.incarnation,      m_sync.records().revision(),
@@ -144,8 +164,9 @@
 }
 
 void peer_sync::ask_all() {
-    const auto addresses = peer_addresses();
-    const bool knows_fleet = !m_sync.records().hosts().empty();
+    const bool is_reader = m_fleet.store_readers().empty();
+    const auto addresses = is_reader ? peer_addresses() : reader_addresses();
+    const bool knows_fleet = is_reader && !m_sync.records().hosts().empty();
     const auto current = std::make_shared<round>();
     current->sent = boot_now();
     current->open = addresses.size();
@@ -164,6 +185,7 @@
         m_fleet.changed.notify_all();
     }
     m_lonely_rounds = current->with_store > 0 || is_vouched_for ? 0 : m_lonely_rounds + 1;
+    m_few_answer = current->answered * 2 < addresses.size();
     if (is_vouched_for != m_vouched_before) {
         m_vouched_before = is_vouched_for;
         log_line{log_class::change, "lease_from_peers"}
@@ -199,16 +221,22 @@
         m_sync.records().apply(change);
     }
     m_sync.acknowledge_changes();
+    ++current->answered;
     if (!answer.knows_sender || !answer.confirmed_age) {
         return;
     }
     current->vouched_by += answer.is_replacing ? 0 : 1;
-    current->with_store += *answer.confirmed_age < store_patience ? 1 : 0;
-    const bool was_current = m_fleet.lease.is_current(boot_now());
-    m_fleet.lease.confirm(current->sent - *answer.confirmed_age);
-    if (!was_current && m_fleet.lease.is_current(boot_now())) {
-        m_fleet.changed.notify_all();
-    }
+    current->with_store += takes_proof(answer, *current) ? 1 : 0;
+}
+
+/// Takes the answering host's proof of its lease; true when it is young enough to rely on.
+bool peer_sync::takes_proof(const peer_answer& answer, const round& current) {
+    const bool is_reader = m_fleet.store_readers().empty();
+    const duration age =
+        is_reader ? *answer.confirmed_age
+                  : std::min(*answer.confirmed_age, answer.lease_age.value_or(duration::max()));
+    m_sync.prove_lease(current.sent - age);
+    return age < store_patience;
 }
 
 /// Suspends the fiber until there are changes that the sender does not know.
--- a/proxy/peer_sync.h
+++ b/proxy/peer_sync.h
@@ -34,7 +34,10 @@
 
     /// Answers another daemon; nothing when the question cannot be read.
     std::optional<std::string> answer(std::string_view question);
-    /// True while neither the store nor all other hosts vouch for this daemon's records.
+    /// True while neither the store nor all other hosts vouch for this daemon's records, so that
+    /// it can use no primary.
+    [[nodiscard]] bool is_unconfirmed(instant now) const;
+    /// True when, besides, most other hosts do not answer, so that callers are better off there.
     [[nodiscard]] bool is_isolated(instant now) const;
     /// Endpoints that a host said it cannot reach, when it could not tell the store.
     [[nodiscard]] const std::set<endpoint_id>* unreachable_from(const host_id& host) const;
@@ -44,6 +47,7 @@
     struct round {
         instant sent;
         std::size_t open = 0;
+        std::size_t answered = 0;
         std::size_t vouched_by = 0;  ///< Hosts that replace no primary.
         std::size_t with_store = 0;  ///< Hosts that the store answers.
     };
@@ -62,6 +66,8 @@
     void ask(const std::string& address, const std::shared_ptr<round>& current);
     void apply(const peer_answer& answer, const std::shared_ptr<round>& current);
     std::vector<std::string> peer_addresses() const;
+    std::vector<std::string> reader_addresses() const;
+    bool takes_proof(const peer_answer& answer, const round& current);
     peer_question make_question() const;
 
     fleet_state& m_fleet;
@@ -74,7 +80,8 @@
     wait_list m_answered;
     std::map<host_id, instant> m_lost_since;  ///< Registered hosts without a lease.
     std::map<host_id, told_reachability> m_told;
-    std::uint32_t m_lonely_rounds = 0;
+    std::uint32_t m_lonely_rounds = 0;  ///< Rounds that confirmed nothing.
+    bool m_few_answer = false;          ///< In the last round.
     bool m_is_replacing = false;
     bool m_vouched_before = false;
     bool m_stopped = false;
--- a/proxy/record_follower.cc
+++ b/proxy/record_follower.cc
@@ -21,6 +21,8 @@
 constexpr std::size_t most_idle_connections = 1;
 // A reader whose proof is older tells no more than the peers do.
 constexpr duration oldest_proof = 1_s;
+// A reader that the store answers has a younger one.
+constexpr duration oldest_confirmation = 800_ms;
 
 }  // namespace
 
@@ -96,7 +98,7 @@
     for (const platform::store_change& change : answer.changes) {
         m_sync.records().apply(change);
     }
-    const bool by_store = answer.confirmed_age && *answer.confirmed_age < oldest_proof;
+    const bool by_store = answer.confirmed_age && *answer.confirmed_age < oldest_confirmation;
     m_sync.on_followed(answer.complete_up_to, answered - *answer.lease_age,
                        by_store ? std::optional{answered - *answer.confirmed_age} : std::nullopt);
     return true;
--- a/proxy/session_daemon.cc
+++ b/proxy/session_daemon.cc
@@ -152,7 +152,7 @@
 void session_daemon::run_isolation_check() {
     while (!m_stopping) {
         const bool is_isolated = m_peers.is_isolated(boot_now());
-        m_router.set_isolated(is_isolated);
+        m_router.set_isolated(m_peers.is_unconfirmed(boot_now()));
         if (is_isolated) {
             const std::vector<std::shared_ptr<session>> open{m_sessions.begin(), m_sessions.end()};
             for (const auto& item : open) {
--- a/proxy/store_sync.cc
+++ b/proxy/store_sync.cc
@@ -242,7 +242,8 @@
 
 void store_sync::on_followed(revision_number revision, instant proven,
                              std::optional<instant> confirmed) {
-    m_followed = boot_now();
+    // The store may answer this host while it turns the reader away.
+    m_followed = confirmed ? std::optional{boot_now()} : std::nullopt;
     m_behind_since.reset();
     m_watched = std::max(m_watched.value_or(0), revision);
     m_confirmed_hosts.clear();
--- a/proxy/store_sync.h
+++ b/proxy/store_sync.h
@@ -54,6 +54,8 @@
     [[nodiscard]] const std::map<group_id, revision_number>& stopped_use() const {
         return m_stopped_use;
     }
+    /// The known records were in force at some time after `at`.
+    void prove_lease(instant at);
     /// Stops using primaries that are being replaced, and says so.
     void acknowledge_changes();
 
@@ -65,7 +67,6 @@
     bool load_prefix(std::string_view prefix, std::set<std::string>& seen);
     bool load_config();
     void on_confirmed(instant sent);
-    void prove_lease(instant at);
     void check_watch(revision_number store_revision, instant sent);
     void run_keep_alive();
     bool keep_alive();
--- a/test/store_reader_test.cc
+++ b/test/store_reader_test.cc
@@ -42,3 +42,8 @@
         CHECK(followers[hosts[i].host] > 5);
     }
 }
+
+TEST_CASE("a host can ask the readers of all data centres") {
+    CHECK(all_store_readers(fleet(69)).size() == 6);
+    CHECK(all_store_readers(fleet(4)).size() == 4);
+}
