--- /dev/null
+++ b/proxy/store_calls.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <boost/fiber/operations.hpp>
+
+#include "platform/store_client.h"
+#include "proxy/clock.h"
+
+/// What the parts of `store_sync` share.
+namespace jasminelead::proxy::detail {
+
+/// Of calls whose answer proves no lease.
+inline constexpr duration call_timeout = duration::from_ms(1000);
+/// Between two tries when nothing better is known.
+inline constexpr duration store_retry_pause = duration::from_ms(100);
+
+inline void pause(duration length) {
+    boost::this_fiber::sleep_until(to_steady(boot_now() + length));
+}
+
+inline steady_time call_deadline() {
+    return to_steady(boot_now() + call_timeout);
+}
+
+inline platform::store_change to_change(const platform::store_item& item) {
+    return {item.key, item.revision, item.value};
+}
+
+}  // namespace jasminelead::proxy::detail
--- a/proxy/store_sync.cc
+++ b/proxy/store_sync.cc
@@ -1,52 +1,28 @@
 #include "proxy/store_sync.h"
 
 #include <algorithm>
-#include <boost/fiber/operations.hpp>
 #include <utility>
-#include <vector>
 
 #include "jasminelead/fleet_quorum.h"
-#include "platform/records.h"
-#include "proxy/clock.h"
 #include "proxy/event_log.h"
+#include "proxy/store_calls.h"
 
 namespace jasminelead::proxy {
 namespace {
 
 using namespace literals;
 
+using detail::pause;
+using detail::to_change;
+
 constexpr duration confirm_interval = 600_ms;
 constexpr duration confirm_timeout = 400_ms;
-constexpr duration call_timeout = 1_s;
-constexpr std::uint32_t watch_wait_ms = 10'000;
-constexpr duration watch_slack = 1_s;
-constexpr duration retry_pause = 100_ms;
 // A watch that received nothing for this long, although the store has changed, is not trusted.
 constexpr duration watch_patience = 300_ms;
-// A host that loses the store counts as lost after this time.
-constexpr std::uint32_t alive_ttl_ms = 1500;
-constexpr duration alive_interval = 500_ms;
 // A host that was cut off knows the others' views again after this time.
 constexpr duration catch_up_time = 1_s;
 // A reader answers several times within this time.
 constexpr duration follow_patience = 600_ms;
-constexpr duration follow_poll = 100_ms;
-constexpr duration publish_interval = 100_ms;
-// Statements in progress at a primary that is replaced get this time to end.
-constexpr duration statement_patience = 300_ms;
-constexpr duration statement_poll = 10_ms;
-
-void pause(duration length) {
-    boost::this_fiber::sleep_until(to_steady(boot_now() + length));
-}
-
-steady_time call_deadline() {
-    return to_steady(boot_now() + call_timeout);
-}
-
-platform::store_change to_change(const platform::store_item& item) {
-    return {item.key, item.revision, item.value};
-}
 
 }  // namespace
 
@@ -84,90 +60,6 @@
         .write();
 }
 
-// Watching
-
-void store_sync::run_watch() {
-    while (!m_stopped) {
-        if (is_following(boot_now())) {
-            pause(follow_poll);
-            continue;
-        }
-        const bool ok = m_watched ? watch_once() : load();
-        if (!ok) {
-            pause(retry_pause);
-        }
-    }
-}
-
-bool store_sync::watch_once() {
-    const auto deadline = to_steady(boot_now() + duration::from_ms(watch_wait_ms) + watch_slack);
-    const auto result = m_store.watch("", *m_watched, watch_wait_ms, deadline);
-    if (!result) {
-        m_counters.count("watch_faults", platform::to_string(result.fault));
-        if (result.fault == platform::store_fault::history_lost) {
-            m_watched.reset();
-        }
-        return result.fault == platform::store_fault::history_lost;
-    }
-    for (const platform::store_change& change : result.value->changes) {
-        m_mirror.apply(change);
-    }
-    m_watched = std::max(m_watched.value_or(0), result.value->revision);
-    create_missing_records();
-    acknowledge_changes();
-    return true;
-}
-
-// Loading
-
-bool store_sync::load() {
-    std::set<std::string> seen;
-    // Changes after this first answer are received by the watch.
-    const auto first = m_store.list(fleet_prefix, "", call_deadline());
-    note_store(first.fault);
-    if (!first) {
-        return false;
-    }
-    const revision_number from = first.value->revision;
-    if (!load_config() || !load_prefix(platform::endpoint_prefix, seen) ||
-        !load_prefix(own_prefix, seen)) {
-        return false;
-    }
-    m_mirror.forget_unseen(seen);
-    m_watched = std::max(m_watched.value_or(0), from);
-    create_missing_records();
-    acknowledge_changes();
-    return true;
-}
-
-bool store_sync::load_config() {
-    const auto item = m_store.get(platform::config_key, call_deadline());
-    if (item) {
-        m_mirror.apply(to_change(*item.value));
-    }
-    return item || item.fault == platform::store_fault::not_found;
-}
-
-bool store_sync::load_prefix(std::string_view prefix, std::set<std::string>& seen) {
-    std::string last;
-    for (;;) {
-        const auto page = m_store.list(prefix, last, call_deadline());
-        if (!page) {
-            return false;
-        }
-        for (const platform::store_item& item : page.value->items) {
-            m_mirror.apply(to_change(item));
-            seen.insert(item.key);
-            last = item.key;
-        }
-        if (page.value->is_complete || page.value->items.empty()) {
-            return true;
-        }
-    }
-}
-
-// Confirming
-
 void store_sync::run_confirm() {
     while (!m_stopped) {
         const instant begun = boot_now();
@@ -181,7 +73,7 @@
         m_mirror.drop_departed();
         m_fleet.retire_leaving(boot_now());
         m_fleet.set_hosts(m_mirror.places(boot_now()));
-        pause(std::max(begun + confirm_interval - boot_now(), retry_pause));
+        pause(std::max(begun + confirm_interval - boot_now(), detail::store_retry_pause));
     }
 }
 
@@ -286,166 +178,4 @@
     return m_confirmed ? now - *m_confirmed : duration::max();
 }
 
-// Registering
-
-/// Shows the other hosts that this one has the store.
-void store_sync::run_keep_alive() {
-    while (!m_stopped) {
-        pause(keep_alive() ? alive_interval : retry_pause);
-    }
-}
-
-bool store_sync::keep_alive() {
-    if (m_lease != platform::no_lease) {
-        const auto fault = m_store.renew_lease(m_lease, call_deadline());
-        if (fault == platform::store_fault::not_found) {
-            m_lease = platform::no_lease;
-        }
-        return fault == platform::store_fault::none;
-    }
-    const auto granted = m_store.grant_lease(alive_ttl_ms, call_deadline());
-    if (!granted) {
-        return false;
-    }
-    platform::store_transaction transaction;
-    transaction.updates.push_back({alive_key(m_self), "{}", *granted.value});
-    if (!m_store.commit(transaction, call_deadline())) {
-        return false;
-    }
-    m_lease = *granted.value;
-    return true;
-}
-
-/// Tells the other hosts which endpoints this one cannot reach.
-void store_sync::run_publish() {
-    while (!m_stopped) {
-        for (const auto& [id, pool] : m_fleet.all_pools()) {
-            pool->check_silence();
-            pool->trim();
-        }
-        publish_reachability();
-        pause(publish_interval);
-    }
-}
-
-void store_sync::publish_reachability() {
-    std::set<endpoint_id> unreachable;
-    for (const auto& [id, pool] : m_fleet.all_pools()) {
-        if (!pool->health().is_reachable()) {
-            unreachable.insert(id);
-        }
-    }
-    if (!m_registered || unreachable == m_own_record.unreachable) {
-        return;
-    }
-    const auto before = std::exchange(m_own_record.unreachable, unreachable);
-    if (!register_host()) {
-        m_own_record.unreachable = before;
-    }
-}
-
-/// Hosts that the store turned away learn of a new one only from their peers.
-void store_sync::note_earlier_registration() {
-    if (m_first_confirmed || m_registered) {
-        return;
-    }
-    const auto item = m_store.get(host_key(m_self), call_deadline());
-    const auto earlier = item ? decode_host_record(item.value->value) : std::nullopt;
-    m_was_registered =
-        m_was_registered || (earlier && earlier->incarnation != m_own_record.incarnation);
-}
-
-bool store_sync::register_host() {
-    platform::store_transaction transaction;
-    transaction.updates.push_back(
-        {host_key(m_self), encode_host_record(m_own_record), platform::no_lease});
-    const auto result = m_store.commit(transaction, call_deadline());
-    note_store(result.fault);
-    if (result) {
-        m_registered = true;
-        log_line{log_class::change, "host_registered"}
-            .with("incarnation", m_own_record.incarnation)
-            .with("unreachable_endpoints", m_own_record.unreachable.size())
-            .with("revision", *result.value)
-            .write();
-    }
-    return result.value.has_value();
-}
-
-void store_sync::create_missing_records() {
-    if (!m_fleet.config.current()) {
-        return;
-    }
-    const auto config = m_fleet.config.current();
-    for (const auto& [group, limits] : config->groups) {
-        if (m_fleet.lease.record(group) == nullptr) {
-            create_record(group);
-        }
-    }
-}
-
-/// The first record of a group names the endpoint that sees itself as its primary.
-void store_sync::create_record(const group_id& group) {
-    std::vector<endpoint_id> primaries;
-    for (const auto& pool : m_fleet.pools(group)) {
-        if (pool->endpoint().role == endpoint_role::primary) {
-            primaries.push_back(pool->endpoint().entry.id);
-        }
-    }
-    if (primaries.size() != 1) {
-        return;
-    }
-    group_record record;
-    record.primary = primaries.front();
-    record.changed_by = m_self;
-    record.changed_by_incarnation = m_own_record.incarnation;
-    platform::store_transaction transaction;
-    transaction.conditions.push_back({group_key(group), 0});
-    transaction.updates.push_back(
-        {group_key(group), encode_group_record(record), platform::no_lease});
-    const auto result = m_store.commit(transaction, call_deadline());
-    if (result) {
-        record.revision = *result.value;
-        m_mirror.apply_group(group, record);
-    }
-}
-
-// Acknowledging
-
-void store_sync::acknowledge_changes() {
-    for (const auto& [group, record] : m_fleet.lease.records()) {
-        const bool changing = record.phase == leadership_phase::changing;
-        if (!changing || record.changed_by == m_self || m_acknowledged[group] >= record.revision) {
-            continue;
-        }
-        m_acknowledged[group] = record.revision;
-        m_fleet.home().spawn(
-            [this, group = group, revision = record.revision] { acknowledge(group, revision); });
-    }
-}
-
-/// Statements that end before the acknowledgement keep their outcome.
-void store_sync::wait_for_statements(const group_id& group) {
-    const auto pool = m_fleet.pool(m_fleet.lease.record(group)->primary);
-    const instant give_up = boot_now() + statement_patience;
-    while (pool && pool->running() > 0 && pool->health().is_reachable() && boot_now() < give_up) {
-        pause(statement_poll);
-    }
-}
-
-void store_sync::acknowledge(const group_id& group, revision_number revision) {
-    wait_for_statements(group);
-    revision_number& stopped = m_stopped_use[group];
-    stopped = std::max(stopped, revision);
-    platform::store_transaction transaction;
-    transaction.updates.push_back(
-        {stop_key(group, m_self), std::to_string(revision), platform::no_lease});
-    const auto result = m_store.commit(transaction, call_deadline());
-    log_line{log_class::change, "primary_use_stopped"}
-        .with("group", group)
-        .with("revision", revision)
-        .with("outcome", platform::to_string(result.fault))
-        .write();
-}
-
 }  // namespace jasminelead::proxy
--- /dev/null
+++ b/proxy/store_sync_registration.cc
@@ -0,0 +1,193 @@
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "jasminelead/retry_pacer.h"
+#include "proxy/event_log.h"
+#include "proxy/store_calls.h"
+#include "proxy/store_sync.h"
+
+namespace jasminelead::proxy {
+namespace {
+
+using namespace literals;
+
+using detail::call_deadline;
+using detail::pause;
+
+// A host that loses the store counts as lost after this time.
+constexpr std::uint32_t alive_ttl_ms = 1500;
+constexpr duration alive_interval = 500_ms;
+constexpr duration publish_interval = 100_ms;
+// Statements in progress at a primary that is replaced get this time to end.
+constexpr duration statement_patience = 300_ms;
+constexpr duration statement_poll = 10_ms;
+
+}  // namespace
+
+/// Shows the other hosts that this one has the store.
+void store_sync::run_keep_alive() {
+    retry_pacer pacer;
+    while (!m_stopped) {
+        if (keep_alive()) {
+            pacer.on_success();
+            pause(alive_interval);
+        } else {
+            pause(pacer.on_failure());
+        }
+    }
+}
+
+bool store_sync::keep_alive() {
+    if (m_lease != platform::no_lease) {
+        const auto fault = m_store.renew_lease(m_lease, call_deadline());
+        if (fault == platform::store_fault::not_found) {
+            m_lease = platform::no_lease;
+        }
+        return fault == platform::store_fault::none;
+    }
+    const auto granted = m_store.grant_lease(alive_ttl_ms, call_deadline());
+    if (!granted) {
+        return false;
+    }
+    platform::store_transaction transaction;
+    transaction.updates.push_back({alive_key(m_self), "{}", *granted.value});
+    if (!m_store.commit(transaction, call_deadline())) {
+        return false;
+    }
+    m_lease = *granted.value;
+    return true;
+}
+
+/// Tells the other hosts which endpoints this one cannot reach.
+void store_sync::run_publish() {
+    while (!m_stopped) {
+        for (const auto& [id, pool] : m_fleet.all_pools()) {
+            pool->check_silence();
+            pool->trim();
+        }
+        publish_reachability();
+        pause(publish_interval);
+    }
+}
+
+void store_sync::publish_reachability() {
+    std::set<endpoint_id> unreachable;
+    for (const auto& [id, pool] : m_fleet.all_pools()) {
+        if (!pool->health().is_reachable()) {
+            unreachable.insert(id);
+        }
+    }
+    if (!m_registered || unreachable == m_own_record.unreachable) {
+        return;
+    }
+    const auto before = std::exchange(m_own_record.unreachable, unreachable);
+    if (!register_host()) {
+        m_own_record.unreachable = before;
+    }
+}
+
+/// Hosts that the store turned away learn of a new one only from their peers.
+void store_sync::note_earlier_registration() {
+    if (m_first_confirmed || m_registered) {
+        return;
+    }
+    const auto item = m_store.get(host_key(m_self), call_deadline());
+    const auto earlier = item ? decode_host_record(item.value->value) : std::nullopt;
+    m_was_registered =
+        m_was_registered || (earlier && earlier->incarnation != m_own_record.incarnation);
+}
+
+bool store_sync::register_host() {
+    platform::store_transaction transaction;
+    transaction.updates.push_back(
+        {host_key(m_self), encode_host_record(m_own_record), platform::no_lease});
+    const auto result = m_store.commit(transaction, call_deadline());
+    note_store(result.fault);
+    if (result) {
+        m_registered = true;
+        log_line{log_class::change, "host_registered"}
+            .with("incarnation", m_own_record.incarnation)
+            .with("unreachable_endpoints", m_own_record.unreachable.size())
+            .with("revision", *result.value)
+            .write();
+    }
+    return result.value.has_value();
+}
+
+void store_sync::create_missing_records() {
+    // One of the readers is enough, and each try is a call.
+    if (!m_fleet.config.current() || !m_fleet.store_readers().empty()) {
+        return;
+    }
+    const auto config = m_fleet.config.current();
+    for (const auto& [group, limits] : config->groups) {
+        if (m_fleet.lease.record(group) == nullptr) {
+            create_record(group);
+        }
+    }
+}
+
+/// The first record of a group names the endpoint that sees itself as its primary.
+void store_sync::create_record(const group_id& group) {
+    std::vector<endpoint_id> primaries;
+    for (const auto& pool : m_fleet.pools(group)) {
+        if (pool->endpoint().role == endpoint_role::primary) {
+            primaries.push_back(pool->endpoint().entry.id);
+        }
+    }
+    if (primaries.size() != 1) {
+        return;
+    }
+    group_record record;
+    record.primary = primaries.front();
+    record.changed_by = m_self;
+    record.changed_by_incarnation = m_own_record.incarnation;
+    platform::store_transaction transaction;
+    transaction.conditions.push_back({group_key(group), 0});
+    transaction.updates.push_back(
+        {group_key(group), encode_group_record(record), platform::no_lease});
+    const auto result = m_store.commit(transaction, call_deadline());
+    if (result) {
+        record.revision = *result.value;
+        m_mirror.apply_group(group, record);
+    }
+}
+
+void store_sync::acknowledge_changes() {
+    for (const auto& [group, record] : m_fleet.lease.records()) {
+        const bool changing = record.phase == leadership_phase::changing;
+        if (!changing || record.changed_by == m_self || m_acknowledged[group] >= record.revision) {
+            continue;
+        }
+        m_acknowledged[group] = record.revision;
+        m_fleet.home().spawn(
+            [this, group = group, revision = record.revision] { acknowledge(group, revision); });
+    }
+}
+
+/// Statements that end before the acknowledgement keep their outcome.
+void store_sync::wait_for_statements(const group_id& group) {
+    const auto pool = m_fleet.pool(m_fleet.lease.record(group)->primary);
+    const instant give_up = boot_now() + statement_patience;
+    while (pool && pool->running() > 0 && pool->health().is_reachable() && boot_now() < give_up) {
+        pause(statement_poll);
+    }
+}
+
+void store_sync::acknowledge(const group_id& group, revision_number revision) {
+    wait_for_statements(group);
+    revision_number& stopped = m_stopped_use[group];
+    stopped = std::max(stopped, revision);
+    platform::store_transaction transaction;
+    transaction.updates.push_back(
+        {stop_key(group, m_self), std::to_string(revision), platform::no_lease});
+    const auto result = m_store.commit(transaction, call_deadline());
+    log_line{log_class::change, "primary_use_stopped"}
+        .with("group", group)
+        .with("revision", revision)
+        .with("outcome", platform::to_string(result.fault))
+        .write();
+}
+
+}  // namespace jasminelead::proxy
