--- a/proxy/session_daemon.cc
+++ b/proxy/session_daemon.cc
@@ -105,7 +105,8 @@
 }
 
 bool session_daemon::is_ready() const {
-    return !m_stopping && m_fleet.config.current() != nullptr && !m_peers.is_isolated(boot_now());
+    return !m_stopping && m_fleet.config.current() != nullptr &&
+           !m_peers.is_unconfirmed(boot_now());
 }
 
 page session_daemon::readiness_page() {
@@ -148,12 +149,25 @@
     return {200, "application/json", std::move(*answer)};
 }
 
-/// Sessions of a daemon that is cut off end, so that their callers reach another one.
+/// Sessions of a daemon that is cut off end, so that their callers reach another one. When most
+/// peers answer, the store may be away from all, so that callers only move once the balancer has
+/// had the time to find a host that is ready.
+bool session_daemon::sends_callers_away(instant now) {
+    if (!m_peers.is_unconfirmed(now)) {
+        m_unconfirmed_since.reset();
+        return false;
+    }
+    if (!m_unconfirmed_since) {
+        m_unconfirmed_since = now;
+    }
+    return m_peers.is_isolated(now) || *m_unconfirmed_since + balancer_delay <= now;
+}
+
 void session_daemon::run_isolation_check() {
     while (!m_stopping) {
-        const bool is_isolated = m_peers.is_isolated(boot_now());
-        m_router.set_isolated(m_peers.is_unconfirmed(boot_now()));
-        if (is_isolated) {
+        const instant now = boot_now();
+        m_router.set_isolated(m_peers.is_unconfirmed(now));
+        if (sends_callers_away(now)) {
             const std::vector<std::shared_ptr<session>> open{m_sessions.begin(), m_sessions.end()};
             for (const auto& item : open) {
                 item->close_when_idle();
--- a/proxy/session_daemon.h
+++ b/proxy/session_daemon.h
@@ -56,6 +56,7 @@
     page metrics_page(std::string_view target);
     page peer_page(std::string_view target, std::string_view body);
     [[nodiscard]] bool needs_restart(const settings& loaded) const;
+    bool sends_callers_away(instant now);
     void run_isolation_check();
     void run_log_flush();
     void run_stop();
@@ -83,6 +84,7 @@
     std::atomic<bool> m_stopping = false;
     std::atomic<bool> m_stopped = false;
     bool m_was_ready = false;
+    std::optional<instant> m_unconfirmed_since;
 };
 
 }  // namespace jasminelead::proxy
