--- a/proxy/session_daemon.cc
+++ b/proxy/session_daemon.cc
@@ -166,7 +166,7 @@
 void session_daemon::run_isolation_check() {
     while (!m_stopping) {
         const instant now = boot_now();
-        m_router.set_isolated(m_peers.is_unconfirmed(now));
+        m_router.set_unconfirmed(m_peers.is_unconfirmed(now));
         if (sends_callers_away(now)) {
             const std::vector<std::shared_ptr<session>> open{m_sessions.begin(), m_sessions.end()};
             for (const auto& item : open) {
--- a/proxy/statement_dispatcher.cc
+++ b/proxy/statement_dispatcher.cc
@@ -31,7 +31,7 @@
 /// Load pattern: a primary is cut off from some hosts only. Hosts that do not reach it pass their
 /// statements to those that do.
 bool statement_dispatcher::runs_here(const database_route& route, bool needs_primary) {
-    if (m_router.is_isolated()) {
+    if (m_router.is_unconfirmed()) {
         return true;
     }
     return m_fleet.is_gateway(route.group) &&
--- a/proxy/statement_router.cc
+++ b/proxy/statement_router.cc
@@ -79,7 +79,7 @@
     if (current.last_reason == reason::overloaded) {
         return refuse(current, "overloaded", "all endpoints are at their limit; not run");
     }
-    if (m_is_isolated) {
+    if (m_is_unconfirmed) {
         return refuse(current, "isolated", "the daemon is cut off; not run");
     }
     if (current.is_over()) {
@@ -232,8 +232,8 @@
         if (!pool || pool->is_retired() || !pool->health().is_reachable()) {
             const auto choice = m_outages.on_unavailable(group, m_fleet.lease.record(group),
                                                          boot_now(), current.give_up);
-            if (m_is_isolated || choice == outage_choice::refuse) {
-                return refuse(current, m_is_isolated ? "isolated" : "primary_outage",
+            if (m_is_unconfirmed || choice == outage_choice::refuse) {
+                return refuse(current, m_is_unconfirmed ? "isolated" : "primary_outage",
                               "the primary is away; not run");
             }
             m_fleet.changed.wait(to_steady(std::min(boot_now() + change_poll, current.give_up)));
--- a/proxy/statement_router.h
+++ b/proxy/statement_router.h
@@ -30,9 +30,9 @@
 public:
     statement_router(fleet_state& fleet, daemon::metrics& counters);
 
-    /// While the daemon is cut off, statements that need a primary are refused at once.
-    void set_isolated(bool is_isolated) { m_is_isolated = is_isolated; }
-    [[nodiscard]] bool is_isolated() const { return m_is_isolated; }
+    /// While nothing confirms that primaries may be used, statements that wait are refused at once.
+    void set_unconfirmed(bool is_unconfirmed) { m_is_unconfirmed = is_unconfirmed; }
+    [[nodiscard]] bool is_unconfirmed() const { return m_is_unconfirmed; }
     /// True when this host cannot use the group's primary, though other hosts may.
     [[nodiscard]] bool is_primary_away(const group_id& group) const;
 
@@ -112,7 +112,7 @@
     fleet_state& m_fleet;
     daemon::metrics& m_counters;
     primary_outages m_outages;
-    bool m_is_isolated = false;
+    bool m_is_unconfirmed = false;
 };
 
 }  // namespace jasminelead::proxy
