End sessions of a draining host only between statements

Cause: a host that stops closed idle sessions 2.2 s after SIGTERM, also those that waited for their startup or had just been opened, and those with a statement in their receive buffer. Closing with unread bytes resets the connection, so that callers got no answer, and no line named the request. Transactions that were open at half of the grace period were cut.

Ruled out: the balancer's delay (two missed probes); the statements were sent in sessions that the host had accepted.

Change: session_drain decides when a session may end: after an answer, after a pause without a statement, and never with unread bytes. The listener closes at half of the grace period, so that later callers are refused before they send anything. A transaction that is open by then is answered as rolled back. Each ended session leaves a line with its reason and last request.

--- a/proxy/session.cc
+++ b/proxy/session.cc
@@ -20,6 +20,24 @@
 
 }  // namespace
 
+std::string_view to_string(session_end reason) {
+    switch (reason) {
+        case session_end::by_caller:
+            return "by_caller";
+        case session_end::stopping:
+            return "stopping";
+        case session_end::cut_off:
+            return "cut_off";
+        case session_end::grace_over:
+            return "grace_over";
+        case session_end::startup_refused:
+            return "startup_refused";
+        case session_end::too_large:
+            return "too_large";
+    }
+    return "by_caller";
+}
+
 session::session(fleet_state& fleet, statement_dispatcher& dispatcher, daemon::metrics& counters,
                  daemon::tcp::socket socket)
     : m_fleet{fleet},
@@ -36,6 +54,7 @@
             }
         }
     }
+    log_end();
     leave_transaction();
     m_stream.close();
     m_counters.add_connections(-1);
@@ -58,13 +77,11 @@
         if (m_received.overflowed()) {
             reply_fault(statement_fault::too_large, "the message is too large");
             flush();
-            return std::nullopt;
-        }
-        if (m_closing && m_received.empty() && !m_transaction_begun) {
+            m_end = session_end::too_large;
             return std::nullopt;
         }
         boost::system::error_code error;
-        m_waiting = m_received.empty();
+        m_waiting = m_last_answer != instant{} && m_received.empty();
         const std::size_t size = m_stream.read_some(boost::asio::buffer(bytes), deadline, error);
         m_waiting = false;
         if (error == boost::asio::error::timed_out && m_transaction) {
@@ -87,6 +104,7 @@
     }
     const auto request = platform::decode_request(*line);
     const auto* const startup = std::get_if<platform::startup_request>(&request);
+    m_end = session_end::startup_refused;
     if (startup == nullptr) {
         platform::encode_error(m_out, statement_fault::malformed, "a startup was expected");
         flush();
@@ -115,6 +133,8 @@
     }
     platform::encode_ready(m_out, m_state);
     flush();
+    m_end = session_end::by_caller;
+    m_last_answer = boot_now();
     return true;
 }
 
@@ -131,14 +151,19 @@
         return false;
     }
     if (const auto* const query = std::get_if<platform::query_request>(&request)) {
-        if (m_abort_transaction && m_transaction_begun) {
-            fail_transaction();
-        }
+        m_last_request = query->id;
+        ++m_statements;
         answer(*query);
     } else {
         reply_fault(statement_fault::malformed, "not a message of this protocol");
     }
     flush();
+    m_last_answer = boot_now();
+    // The end arrives with the answer, before the caller sends its next statement.
+    const bool ends_here = m_closing && m_received.empty() && !m_transaction_begun;
+    if (ends_here && m_stream.is_quiet()) {
+        return false;
+    }
     return m_stream.is_open();
 }
 
@@ -146,6 +171,14 @@
     const caller_statement decoded = platform::decode_statement(query.text);
     const bool ends = std::holds_alternative<commit_statement>(decoded) ||
                       std::holds_alternative<rollback_statement>(decoded);
+    if (m_abort_transaction && m_transaction_begun) {
+        m_counters.count("aborted_transactions", "stopping");
+        fail_transaction();
+        if (!ends) {
+            reply_fault(statement_fault::aborted, "the daemon stops; rolled back");
+            return;
+        }
+    }
     if (m_state == transaction_state::failed && !ends) {
         reply_fault(statement_fault::malformed, "the transaction has failed; end it first");
         return;
@@ -323,20 +356,37 @@
     }
 }
 
-void session::close_when_idle() {
-    m_closing = true;
-    if (is_idle()) {
-        m_stream.close();
-    }
+session_activity session::activity() {
+    session_activity result;
+    result.is_working = !m_waiting || m_transaction_begun;
+    result.has_unread_bytes = !m_stream.is_quiet();
+    result.has_run_statement = m_statements > 0;
+    result.last_answer = m_last_answer;
+    return result;
 }
 
-void session::end_transaction() {
-    m_abort_transaction = true;
+void session::close_when_idle(session_end reason) {
     m_closing = true;
-    if (m_waiting && m_transaction_begun) {
-        // The caller learns it from the end of the connection; nothing of it is kept.
-        m_stream.close();
+    if (m_stream.is_open() && may_end_session(activity(), boot_now())) {
+        end(reason);
     }
 }
 
+void session::end(session_end reason) {
+    m_end = reason;
+    m_stream.close();
+}
+
+void session::log_end() {
+    const bool expected = m_end == session_end::by_caller && !m_transaction_begun;
+    m_counters.count("sessions_ended", to_string(m_end));
+    log_line{expected ? log_class::success : log_class::refusal, "session_ended"}
+        .with("database", m_database)
+        .with("reason", to_string(m_end))
+        .with("last_request", m_last_request)
+        .with("statements", m_statements)
+        .with("in_transaction", m_transaction_begun ? "true" : "false")
+        .write();
+}
+
 }  // namespace jasminelead::proxy
--- a/proxy/session.h
+++ b/proxy/session.h
@@ -1,11 +1,14 @@
 #pragma once
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "daemon/fiber_stream.h"
 #include "daemon/metrics.h"
+#include "jasminelead/session_drain.h"
 #include "platform/wire.h"
 #include "proxy/fleet_state.h"
 #include "proxy/session_data.h"
@@ -13,6 +16,11 @@
 
 namespace jasminelead::proxy {
 
+/// Why a session ended.
+enum class session_end { by_caller, stopping, cut_off, grace_over, startup_refused, too_large };
+
+std::string_view to_string(session_end reason);
+
 /// One caller's connection, from its startup to its end.
 class session {
 public:
@@ -21,16 +29,17 @@
 
     /// Serves until the connection ends. Runs in a fiber of its own.
     void serve();
-    /// Ends the session as soon as no statement is in progress and no transaction is open.
-    void close_when_idle();
+    /// Ends the session as soon as no statement can be in progress or on its way.
+    void close_when_idle(session_end reason);
     /// Ends the session at once.
-    void abort() { m_stream.close(); }
-    /// Rolls an open transaction back at its next pause, so that the session can end.
-    void end_transaction();
-
-    [[nodiscard]] bool is_idle() const { return m_waiting && !m_transaction_begun; }
+    void abort(session_end reason) { end(reason); }
+    /// Rolls an open transaction back at its next statement, so that the session can end.
+    void end_transaction() { m_abort_transaction = m_transaction_begun; }
 
 private:
+    [[nodiscard]] session_activity activity();
+    void end(session_end reason);
+    void log_end();
     bool start();
     std::optional<std::string> read_line(steady_time deadline);
     steady_time idle_deadline() const;
@@ -65,7 +74,11 @@
     std::shared_ptr<const routing_config> m_transaction_config;
     std::optional<session_transaction> m_transaction;
     instant m_arrived;
-    bool m_waiting = false;
+    std::string m_last_request;  ///< Id of the last statement that was received.
+    std::uint64_t m_statements = 0;
+    instant m_last_answer;
+    session_end m_end = session_end::by_caller;
+    bool m_waiting = false;  ///< For a statement of the caller.
     bool m_closing = false;
     bool m_abort_transaction = false;
 };
--- a/proxy/session_daemon.cc
+++ b/proxy/session_daemon.cc
@@ -170,7 +170,7 @@
         if (sends_callers_away(now)) {
             const std::vector<std::shared_ptr<session>> open{m_sessions.begin(), m_sessions.end()};
             for (const auto& item : open) {
-                item->close_when_idle();
+                item->close_when_idle(session_end::cut_off);
             }
         }
         boost::this_fiber::sleep_until(to_steady(boot_now() + isolation_poll));
@@ -239,6 +239,7 @@
         const instant now = boot_now();
         if (now >= end_transactions) {
             m_gateway.end_transactions();
+            refuse_connections();
         }
         const std::vector<std::shared_ptr<session>> open{m_sessions.begin(), m_sessions.end()};
         for (const auto& item : open) {
@@ -246,13 +247,13 @@
                 item->end_transaction();
             }
             if (now >= close_idle) {
-                item->close_when_idle();
+                item->close_when_idle(session_end::stopping);
             }
         }
         boost::this_fiber::sleep_until(to_steady(boot_now() + stop_poll));
     }
     for (const auto& item : m_sessions) {
-        item->abort();
+        item->abort(session_end::grace_over);
     }
     close_listeners();
     m_sync.stop();
@@ -271,9 +272,14 @@
     m_stopped.notify_all();
 }
 
-void session_daemon::close_listeners() {
+/// A caller whose connection is refused has sent nothing and goes to another host.
+void session_daemon::refuse_connections() {
     boost::system::error_code ignored;
     m_acceptor.close(ignored);
+}
+
+void session_daemon::close_listeners() {
+    refuse_connections();
     m_readiness.stop();
     m_metrics.stop();
     m_peer_pages.stop();
--- a/proxy/session_daemon.h
+++ b/proxy/session_daemon.h
@@ -60,6 +60,7 @@
     void run_isolation_check();
     void run_log_flush();
     void run_stop();
+    void refuse_connections();
     void close_listeners();
     void note_ready();
 
--- /dev/null
+++ b/src/session_drain.cc
@@ -0,0 +1,25 @@
+#include "jasminelead/session_drain.h"
+
+namespace jasminelead {
+namespace {
+
+using namespace literals;
+
+// A caller sends its first statement within a round trip and a retransmission of the answer to
+// its startup.
+constexpr duration first_statement_patience = 500_ms;
+// A caller that uses its session again at once has sent its next statement by then.
+constexpr duration next_statement_patience = 50_ms;
+
+}  // namespace
+
+bool may_end_session(const session_activity& activity, instant now) {
+    if (activity.is_working || activity.has_unread_bytes) {
+        return false;
+    }
+    const duration quiet = now - activity.last_answer;
+    return quiet >=
+           (activity.has_run_statement ? next_statement_patience : first_statement_patience);
+}
+
+}  // namespace jasminelead
--- a/test/session_daemon_test.cc
+++ b/test/session_daemon_test.cc
@@ -143,3 +143,33 @@
     }
     CHECK(answer.starts_with("DONE"));
 }
+
+// Guards against statements that are cut off without an answer because their session was opened
+// while the host already closed idle sessions.
+TEST_CASE("a session opened late in a planned stop gets its first statement answered") {
+    fleet all{1, 8, 3_s};
+    // Keeps the host running.
+    caller holder{all.port(), "pay"};
+    holder.query("BEGIN");
+    all.daemon().stop_gracefully();
+    std::this_thread::sleep_for(std::chrono::milliseconds{1300});
+    caller late{all.port(), "pay"};
+    CHECK(late.first() == "READY I -|");
+    std::this_thread::sleep_for(std::chrono::milliseconds{100});
+    CHECK(late.query("WRITE k10 v10") == "DONE signed-by-i-a|READY I -|");
+    // The session ends with its answer.
+    CHECK(late.query("READ k10").ends_with("closed"));
+}
+
+// Guards against a transaction whose caller cannot tell whether its commit was received.
+TEST_CASE("a transaction that is open for too long in a planned stop is told that it rolled back") {
+    fleet all{1, 8, 2_s};
+    caller pay{all.port(), "pay"};
+    pay.query("BEGIN");
+    CHECK(pay.query("WRITE k11 v11").starts_with("DONE"));
+    all.daemon().stop_gracefully();
+    std::this_thread::sleep_for(std::chrono::milliseconds{1200});
+    CHECK(pay.query("READ k11").starts_with("ERROR ABORTED"));
+    CHECK(pay.query("COMMIT").starts_with("ERROR ABORTED"));
+    CHECK(all.runs("COMMIT") == 0);
+}
--- a/test/session_fleet.h
+++ b/test/session_fleet.h
@@ -85,7 +85,8 @@
 /// A platform with one group of three endpoints, and some daemons.
 class fleet {
 public:
-    explicit fleet(int hosts = 1, int max_connections = 8) {
+    explicit fleet(int hosts = 1, int max_connections = 8, duration stop_grace = 400_ms)
+        : m_stop_grace{stop_grace} {
         for (const char* id : {"i-a", "i-b", "i-c"}) {
             m_endpoints.push_back(std::make_unique<session_endpoint>(m_group, "shows", id));
         }
@@ -141,7 +142,7 @@
         options.peer = free_address();
         options.store = m_platform.address();
         options.promotion = m_platform.address();
-        options.stop_grace = 400_ms;
+        options.stop_grace = m_stop_grace;
         m_daemons.push_back(std::make_unique<proxy::session_daemon>(options));
         REQUIRE_FALSE(m_daemons.back()->start());
     }
@@ -157,6 +158,7 @@
         FAIL("the daemon does not serve");
     }
 
+    duration m_stop_grace;
     std::shared_ptr<session_group_state> m_group = std::make_shared<session_group_state>();
     std::vector<std::unique_ptr<session_endpoint>> m_endpoints;
     session_platform m_platform;
