Learn marks of primaries from other hosts after a full restart

Cause: connections of processes that lost power fill the limit of each endpoint for 3 s. A host whose new connections to a primary were refused had no marks, so that all its reads needed that primary although replicas were idle. They waited for their whole timeout in the queue of a pool without a connection and ended as "no endpoint can answer now" with no try.

Ruled out: placement (refusals named the three primaries only); the lease (100 to 500 ms old).

Change: a host without marks asks the other gateways of the group for theirs (mark_exchange), at a bounded rate (mark_demand). A pool without a connection that is refused at the endpoint's limit takes no reads, and writes are passed to hosts that have one. Half of an endpoint's limit stays free at rest, so that processes that follow lost ones find room. Refused connections leave a line.

--- a/include/jasminelead/connection_share.h
+++ b/include/jasminelead/connection_share.h
@@ -25,7 +25,7 @@
     /// When one more connection may be tried after a refusal.
     [[nodiscard]] instant retry_at() const { return m_retry_at; }
 
-    static constexpr duration idle_above_share = duration::from_ms(300);
+    static constexpr duration idle_above_share = duration::from_ms(800);
 
 private:
     std::uint32_t m_max = 1;
--- a/proxy/endpoint_pool.cc
+++ b/proxy/endpoint_pool.cc
@@ -171,6 +171,7 @@
 }
 
 void endpoint_pool::on_opened(connection_id id) {
+    m_is_refused = false;
     m_connections.set_open(id, boot_now());
     pump();
 }
@@ -179,7 +180,15 @@
     const instant now = boot_now();
     m_links.erase(id);
     m_connections.remove(id, now);
-    if (why == reason::connection_limit) {
+    m_is_refused = why == reason::connection_limit;
+    if (m_is_refused) {
+        log_line{log_class::refusal, "connection_refused"}
+            .with("endpoint", m_endpoint.entry.id)
+            .with("group", m_endpoint.entry.group)
+            .with("open", connections())
+            .with("share", m_share.share())
+            .with("waiting", std::uint64_t{m_queue.size()})
+            .write();
         m_share.on_refused(m_connections.size(), now);
         schedule_retry(m_share.retry_at());
         return;
@@ -221,14 +230,24 @@
     m_home.spawn([self = shared_from_this(), at] {
         boost::this_fiber::sleep_until(to_steady(at));
         self->m_retry_scheduled = false;
-        if (self->m_health.is_reachable()) {
-            self->pump();
-        } else if (!self->m_retired && self->m_connections.opening() == 0) {
-            self->open_one();
-        }
+        self->retry();
     });
 }
 
+bool endpoint_pool::is_crowded_out() const {
+    return m_is_refused && m_connections.size() == m_connections.opening();
+}
+
+/// Without a connection one is opened even when nothing waits: statements go elsewhere meanwhile.
+void endpoint_pool::retry() {
+    const bool needs_one = !m_health.is_reachable() || is_crowded_out();
+    if (!needs_one) {
+        pump();
+    } else if (!m_retired && m_connections.opening() == 0) {
+        open_one();
+    }
+}
+
 void endpoint_pool::finish(const run_slot& slot) {
     --m_running;
     const duration taken = boot_now() - slot.since;
--- a/proxy/endpoint_pool.h
+++ b/proxy/endpoint_pool.h
@@ -81,6 +81,8 @@
     [[nodiscard]] const listed_endpoint& endpoint() const { return m_endpoint; }
     [[nodiscard]] const endpoint_health& health() const { return m_health; }
     [[nodiscard]] bool is_retired() const { return m_retired; }
+    /// True while this host has no connection, because others fill the endpoint's limit.
+    [[nodiscard]] bool is_crowded_out() const;
     [[nodiscard]] std::uint32_t running() const { return m_running; }
     [[nodiscard]] std::size_t waiting() const { return m_queue.size(); }
     [[nodiscard]] duration mean_time() const { return m_queue.mean_time(); }
@@ -114,6 +116,7 @@
     void on_open_failed(connection_id id, reason why);
     void fail_unbound(reason why);
     void schedule_retry(instant at);
+    void retry();
     [[nodiscard]] std::uint32_t unbound_waiting() const;
 
     daemon::worker& m_home;
@@ -131,6 +134,7 @@
     std::uint32_t m_running = 0;
     std::uint64_t m_next_number = 1;
     bool m_retired = false;
+    bool m_is_refused = false;  ///< The last new connection was over the endpoint's limit.
     bool m_retry_scheduled = false;
     instant m_quiet_since;  ///< Last answer, or begin of the oldest work without one.
 };
--- a/proxy/json_fields.cc
+++ b/proxy/json_fields.cc
@@ -31,9 +31,10 @@
     return number;
 }
 
+/// Longer durations are faults: sums with them could overflow.
 std::optional<duration> duration_of(const json::object& object, std::string_view name) {
     const auto number = number_of(object, name);
-    if (!number) {
+    if (!number || *number > static_cast<std::uint64_t>(duration::max().us())) {
         return std::nullopt;
     }
     return duration::from_us(static_cast<std::int64_t>(*number));
--- /dev/null
+++ b/proxy/mark_exchange.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+
+#include "daemon/http_pool.h"
+#include "daemon/metrics.h"
+#include "jasminelead/mark_demand.h"
+#include "proxy/fleet_state.h"
+#include "proxy/record_mirror.h"
+#include "proxy/wait_list.h"
+
+namespace jasminelead::proxy {
+
+/// Asks the other gateways of a group how far its primary's log has come, while this host has no
+/// connection to the primary.
+class mark_exchange {
+public:
+    mark_exchange(fleet_state& fleet, const record_mirror& mirror, daemon::metrics& counters);
+
+    void start();
+    void stop();
+    /// A read of the group has no bound, and its primary cannot take it at once.
+    void want(const group_id& group);
+    /// Answers another host; nothing when the question cannot be read.
+    std::optional<std::string> answer(std::string_view question) const;
+
+private:
+    void run();
+    void ask_gateways(const std::set<group_id>& groups);
+    void ask(const std::string& address, const std::string& question);
+
+    fleet_state& m_fleet;
+    const record_mirror& m_mirror;
+    daemon::metrics& m_counters;
+    daemon::http_pool m_pool;
+    wait_list m_wanted;
+    mark_demand m_demand;
+    bool m_stopped = false;
+};
+
+}  // namespace jasminelead::proxy
--- a/proxy/session_daemon.cc
+++ b/proxy/session_daemon.cc
@@ -32,7 +32,8 @@
       m_peers{m_fleet, m_sync, m_counters, m_settings},
       m_follower{m_fleet, m_sync, m_counters},
       m_failover{m_fleet, m_sync, m_peers, m_counters, m_settings},
-      m_router{m_fleet, m_counters},
+      m_marks{m_fleet, m_mirror, m_counters},
+      m_router{m_fleet, m_marks, m_counters},
       m_gateways{m_fleet, m_mirror, m_counters},
       m_gateway{m_fleet, m_router, m_counters},
       m_dispatcher{m_fleet, m_router, m_gateways, m_counters},
@@ -73,6 +74,7 @@
         m_peers.start();
         m_follower.start();
         m_failover.start();
+        m_marks.start();
         m_gateways.start();
         m_gateway.start();
         accept_next();
@@ -137,14 +139,18 @@
     if (target == "/peer/ping") {
         return {200, "text/plain", "running\n"};
     }
-    const bool is_statement = target == "/peer/statement";
-    const bool known = is_statement || target == "/peer/exchange";
     std::optional<std::string> answer;
-    if (known) {
-        answer = is_statement ? m_gateway.answer(body) : m_peers.answer(body);
+    if (target == "/peer/statement") {
+        answer = m_gateway.answer(body);
+    } else if (target == "/peer/exchange") {
+        answer = m_peers.answer(body);
+    } else if (target == "/peer/marks") {
+        answer = m_marks.answer(body);
+    } else {
+        return {404, "text/plain", "not found\n"};
     }
     if (!answer) {
-        return {known ? 400U : 404U, "text/plain", "not a question of a peer\n"};
+        return {400, "text/plain", "not a question of a peer\n"};
     }
     return {200, "application/json", std::move(*answer)};
 }
@@ -260,6 +266,7 @@
     m_peers.stop();
     m_follower.stop();
     m_failover.stop();
+    m_marks.stop();
     m_gateways.stop();
     m_gateway.stop();
     log_line{log_class::change, "stopped"}
--- a/proxy/session_daemon.h
+++ b/proxy/session_daemon.h
@@ -11,6 +11,7 @@
 #include "proxy/fleet_state.h"
 #include "proxy/gateway_client.h"
 #include "proxy/gateway_server.h"
+#include "proxy/mark_exchange.h"
 #include "proxy/peer_sync.h"
 #include "proxy/record_follower.h"
 #include "proxy/session.h"
@@ -73,6 +74,7 @@
     peer_sync m_peers;
     record_follower m_follower;
     failover_agent m_failover;
+    mark_exchange m_marks;
     statement_router m_router;
     gateway_client m_gateways;
     gateway_server m_gateway;
--- a/proxy/statement_router.cc
+++ b/proxy/statement_router.cc
@@ -25,8 +25,9 @@
 
 }  // namespace
 
-statement_router::statement_router(fleet_state& fleet, daemon::metrics& counters)
-    : m_fleet{fleet}, m_counters{counters}, m_outages{fleet.lease.length()} {}
+statement_router::statement_router(fleet_state& fleet, mark_exchange& marks,
+                                   daemon::metrics& counters)
+    : m_fleet{fleet}, m_marks{marks}, m_counters{counters}, m_outages{fleet.lease.length()} {}
 
 statement_outcome statement_router::run(session_data& session, const database_route& route,
                                         const forwarded_statement& statement) {
@@ -51,7 +52,7 @@
         candidate.id = endpoint.entry.id;
         candidate.is_primary = record != nullptr && record->primary == endpoint.entry.id;
         candidate.is_local = endpoint.entry.data_centre == m_fleet.data_centre();
-        candidate.is_reachable = pool->health().is_reachable();
+        candidate.is_reachable = pool->health().is_reachable() && !pool->is_crowded_out();
         candidate.is_excluded = current.excluded.contains(endpoint.entry.id);
         // Without a required point only the primary answers, and only while it surely leads.
         if (candidate.is_primary && !current.after && !has_permit) {
@@ -108,10 +109,22 @@
     current.point_age = current.after ? bounds.lag(*current.after, boot_now()) : route.max_stale;
 }
 
+/// While the primary answers at once, its next answer is a mark.
+void statement_router::want_marks(const group_id& group) {
+    const auto permit = m_fleet.lease.permit(group, boot_now());
+    const auto pool = permit ? m_fleet.pool(permit->primary) : nullptr;
+    if (!pool || !pool->health().is_reachable() || pool->is_crowded_out() || pool->waiting() > 0) {
+        m_marks.want(group);
+    }
+}
+
 std::variant<statement_router::reader_run, statement_outcome> statement_router::acquire_reader(
     statement_attempt& current, const session_data& session) {
     for (;;) {
         update_bound(current, session);
+        if (!current.after) {
+            want_marks(current.route.group);
+        }
         const auto pool = choose_reader(current);
         if (!pool) {
             if (const auto refusal = wait_for_endpoint(current)) {
@@ -217,7 +230,7 @@
     }
     const auto permit = m_fleet.lease.permit(group, boot_now());
     const auto pool = permit ? m_fleet.pool(permit->primary) : nullptr;
-    return !pool || pool->is_retired() || !pool->health().is_reachable();
+    return !pool || pool->is_retired() || !pool->health().is_reachable() || pool->is_crowded_out();
 }
 
 std::variant<statement_router::primary_run, statement_outcome> statement_router::acquire_primary(
--- a/proxy/statement_router.h
+++ b/proxy/statement_router.h
@@ -10,6 +10,7 @@
 #include "jasminelead/primary_outage.h"
 #include "jasminelead/read_selector.h"
 #include "proxy/fleet_state.h"
+#include "proxy/mark_exchange.h"
 #include "proxy/session_data.h"
 #include "proxy/statement_attempt.h"
 #include "proxy/statement_exchange.h"
@@ -28,7 +29,7 @@
 
 class statement_router {
 public:
-    statement_router(fleet_state& fleet, daemon::metrics& counters);
+    statement_router(fleet_state& fleet, mark_exchange& marks, daemon::metrics& counters);
 
     /// While nothing confirms that primaries may be used, statements that wait are refused at once.
     void set_unconfirmed(bool is_unconfirmed) { m_is_unconfirmed = is_unconfirmed; }
@@ -76,6 +77,7 @@
     std::variant<reader_run, statement_outcome> acquire_reader(statement_attempt& current,
                                                                const session_data& session);
     void update_bound(statement_attempt& current, const session_data& session);
+    void want_marks(const group_id& group);
     std::shared_ptr<endpoint_pool> choose_reader(statement_attempt& current);
     std::optional<statement_outcome> wait_for_endpoint(statement_attempt& current);
     std::optional<statement_outcome> try_read(statement_attempt& current,
@@ -110,6 +112,7 @@
                      std::string_view outcome);
 
     fleet_state& m_fleet;
+    mark_exchange& m_marks;
     daemon::metrics& m_counters;
     primary_outages m_outages;
     bool m_is_unconfirmed = false;
--- a/src/connection_share.cc
+++ b/src/connection_share.cc
@@ -11,12 +11,16 @@
 // again sooner than one above.
 constexpr duration retry_below_share = 50_ms;
 constexpr duration retry_above_share = 400_ms;
+// Connections of hosts that lost power stay at the endpoint for seconds. The other half of the
+// limit is room for the processes that follow them.
+constexpr std::uint32_t kept_part_of_limit = 2;
 
 }  // namespace
 
 void connection_share::set_limit(std::uint32_t max_connections, std::uint32_t hosts) {
     m_max = std::max<std::uint32_t>(max_connections, 1);
-    m_share = hosts == 0 ? 0 : std::max<std::uint32_t>(m_max / hosts, 1);
+    const std::uint32_t kept = m_max / kept_part_of_limit;
+    m_share = hosts == 0 ? 0 : std::max<std::uint32_t>(kept / hosts, 1);
 }
 
 void connection_share::on_refused(std::uint32_t open, instant now) {
