Keep what a host computes at rest flat with the size of the fleet

Ruled out: encoding of messages (under 5% of the samples); heartbeats of endpoints, which change no record.

Change: host_liveness answers for one host. Views of hosts are counted only where something speaks against a primary. Readers are chosen when the hosts change, records are indexed by their revision.

Found on the way, each with a test that failed before: an entry that a listing lacked after lost history was not handed on as deleted to followers that knew later revisions; a peer that was cut off could bring back an endpoint or host that had left, after a restart or once its deletion was forgotten; values with bytes above 127 were never handed on.

--- a/proxy/failover_agent.cc
+++ b/proxy/failover_agent.cc
@@ -71,13 +71,28 @@
         m_due_since.clear();
         return;
     }
+    const auto reported = m_peers.reported_unreachable();
     for (const auto& [group, record] : m_fleet.lease.records()) {
-        if (!m_running.contains(group)) {
+        if (needs_check(group, record, reported) && !m_running.contains(group)) {
             check_group(group, record);
         }
     }
 }
 
+/// Load pattern: a large fleet has many groups, and nearly all of their primaries are well. Views
+/// of hosts are only counted where something speaks against the primary.
+bool failover_agent::needs_check(const group_id& group, const group_record& record,
+                                 const std::set<endpoint_id>& reported) const {
+    const bool is_known_due = m_due_since.contains({group, record.revision});
+    if (is_known_due || record.phase == leadership_phase::changing ||
+        reported.contains(record.primary)) {
+        return true;
+    }
+    const auto pool = m_fleet.pool(record.primary);
+    return !pool || pool->endpoint().entry.state == member_state::leaving ||
+           pool->endpoint().role == endpoint_role::replica;
+}
+
 void failover_agent::check_group(const group_id& group, const group_record& record) {
     const auto key = std::pair{group, record.revision};
     const bool changing = record.phase == leadership_phase::changing;
@@ -115,10 +130,11 @@
 
 /// Hosts that are no gateway of the group have no connections that could fail.
 std::set<host_id> failover_agent::voters(const group_id& group) const {
-    const auto voting = m_sync.records().voting_hosts(boot_now());
+    const host_liveness& liveness = m_sync.records().liveness();
+    const instant now = boot_now();
     std::set<host_id> result;
     for (const host_id& host : m_fleet.gateways(group)) {
-        if (voting.contains(host)) {
+        if (liveness.is_voting(host, now)) {
             result.insert(host);
         }
     }
@@ -147,7 +163,7 @@
 primary_health failover_agent::health_of(const group_id& group, const endpoint_id& primary) const {
     primary_health health;
     health.registered = m_sync.records().hosts().size();
-    health.hosts = m_sync.records().voting_hosts(boot_now()).size();
+    health.hosts = m_sync.records().liveness().voting_count(boot_now());
     health.gateways = m_fleet.gateways(group).size();
     health.voters = voters(group).size();
     health.voters_without_primary = hosts_without(group, primary);
@@ -167,9 +183,11 @@
         return XXH64(text.data(), text.size(), 0);
     };
     const auto own = weight(m_self);
-    const auto voters = m_sync.records().voting_hosts(boot_now());
-    const auto before = std::count_if(voters.begin(), voters.end(),
-                                      [&](const host_id& host) { return weight(host) < own; });
+    const instant now = boot_now();
+    const auto& hosts = m_sync.records().hosts();
+    const auto before = std::count_if(hosts.begin(), hosts.end(), [&](const auto& item) {
+        return m_sync.records().liveness().is_voting(item.first, now) && weight(item.first) < own;
+    });
     return rank_delay * static_cast<double>(before);
 }
 
--- a/proxy/failover_agent.h
+++ b/proxy/failover_agent.h
@@ -45,6 +45,8 @@
 
     void run();
     void check_groups();
+    [[nodiscard]] bool needs_check(const group_id& group, const group_record& record,
+                                   const std::set<endpoint_id>& reported) const;
     void check_group(const group_id& group, const group_record& record);
     primary_health health_of(const group_id& group, const endpoint_id& primary) const;
     [[nodiscard]] bool has_restarted(const group_record& record) const;
--- a/proxy/fleet_state.cc
+++ b/proxy/fleet_state.cc
@@ -122,10 +122,6 @@
     return hosts.empty() || hosts.front() == m_self.host;
 }
 
-std::vector<host_id> fleet_state::store_readers() const {
-    return choose_store_readers(m_hosts, m_self);
-}
-
 void fleet_state::update_pool(endpoint_pool& pool, const listed_endpoint& endpoint) {
     const listed_endpoint present = endpoint;
     const group_id& group = present.entry.group;
@@ -150,6 +146,7 @@
     }
     if (hosts != m_hosts) {
         m_hosts = std::move(hosts);
+        m_store_readers = choose_store_readers(m_hosts, m_self);
         update_pools();
     }
 }
--- a/proxy/fleet_state.h
+++ b/proxy/fleet_state.h
@@ -45,7 +45,7 @@
     /// Gateways of the group in the order in which this host asks them.
     const std::vector<host_id>& gateways(const group_id& group);
     /// Hosts that read the store for this one; empty when it reads the store itself.
-    [[nodiscard]] std::vector<host_id> store_readers() const;
+    [[nodiscard]] const std::vector<host_id>& store_readers() const { return m_store_readers; }
     /// All hosts that read the store.
     [[nodiscard]] std::vector<host_id> all_readers() const { return all_store_readers(m_hosts); }
     /// True when this host runs the group's statements itself.
@@ -66,6 +66,7 @@
     host_place m_self;
     std::map<endpoint_id, std::shared_ptr<endpoint_pool>> m_pools;
     std::vector<host_place> m_hosts;
+    std::vector<host_id> m_store_readers;
     std::map<group_id, std::vector<host_id>> m_gateways;  ///< Filled on demand.
     std::map<endpoint_id, instant> m_leaving_since;
     std::map<group_id, read_bounds> m_bounds;
--- a/proxy/peer_sync.cc
+++ b/proxy/peer_sync.cc
@@ -88,18 +88,19 @@
 
 void peer_sync::remove_lost_hosts() {
     const instant now = boot_now();
-    const std::set<host_id> live = m_sync.records().live_hosts(now);
-    const auto hosts = m_sync.records().hosts();
-    std::erase_if(m_lost_since, [&](const auto& lost) {
-        return live.contains(lost.first) || !hosts.contains(lost.first);
-    });
-    for (const auto& [host, record] : hosts) {
-        if (live.contains(host) || host == m_self || !m_sync.records().is_registered(host)) {
-            continue;
+    const host_liveness& liveness = m_sync.records().liveness();
+    std::map<host_id, std::string> lost;  // With the address.
+    for (const auto& [host, record] : m_sync.records().hosts()) {
+        if (host != m_self && liveness.is_registered(host) && !liveness.is_live(host, now)) {
+            lost.emplace(host, record.peer_address);
         }
+    }
+    std::erase_if(m_lost_since, [&](const auto& item) { return !lost.contains(item.first); });
+    const std::size_t live = m_sync.records().live_count(now);
+    const std::size_t registered = m_sync.records().hosts().size();
+    for (const auto& [host, address] : lost) {
         const instant since = m_lost_since.emplace(host, now).first->second;
-        const bool removable = may_remove_host(live.size(), hosts.size(), now - since);
-        if (!removable || is_answering(record.peer_address)) {
+        if (!may_remove_host(live, registered, now - since) || is_answering(address)) {
             continue;
         }
         platform::store_transaction transaction;
@@ -281,4 +282,12 @@
     return is_recent ? &found->second.unreachable : nullptr;
 }
 
+std::set<endpoint_id> peer_sync::reported_unreachable() const {
+    std::set<endpoint_id> reported = m_sync.records().reported_unreachable();
+    for (const auto& [host, told] : m_told) {
+        reported.insert(told.unreachable.begin(), told.unreachable.end());
+    }
+    return reported;
+}
+
 }  // namespace jasminelead::proxy
--- a/proxy/peer_sync.h
+++ b/proxy/peer_sync.h
@@ -41,6 +41,8 @@
     [[nodiscard]] bool is_isolated(instant now) const;
     /// Endpoints that a host said it cannot reach, when it could not tell the store.
     [[nodiscard]] const std::set<endpoint_id>* unreachable_from(const host_id& host) const;
+    /// Endpoints that some host cannot reach, as the registrations and the peers say.
+    [[nodiscard]] std::set<endpoint_id> reported_unreachable() const;
 
 private:
     /// The answers to one round of questions.
--- a/proxy/record_follower.cc
+++ b/proxy/record_follower.cc
@@ -38,7 +38,8 @@
 
 void record_follower::run() {
     while (!m_stopped) {
-        const auto readers = m_fleet.store_readers();
+        // A copy: the readers may change while one of them is asked.
+        const std::vector<host_id> readers = m_fleet.store_readers();
         if (readers.empty() || !m_sync.can_follow()) {
             note_reader(host_id{});
             boost::this_fiber::sleep_until(to_steady(boot_now() + idle_poll));
--- a/proxy/record_mirror.cc
+++ b/proxy/record_mirror.cc
@@ -16,11 +16,6 @@
 constexpr duration lapse_grace = 2500_ms;
 // Deletions are kept for peers that were cut off from the store for a while.
 constexpr std::size_t most_deletions = 1000;
-// A lease may end early by mistake, and is then granted again.
-constexpr duration alive_grace = 300_ms;
-// A host that was cut off needs this time to find out what it can reach again.
-constexpr duration settle_time = 1_s;
-constexpr duration written_grace = 1500_ms;
 
 }  // namespace
 
@@ -28,23 +23,34 @@
     : m_fleet{fleet}, m_counters{counters} {}
 
 void record_mirror::apply(const platform::store_change& change) {
-    known_item& known = m_items[change.key];
-    if (change.revision <= known.revision) {
+    const auto found = m_items.find(change.key);
+    const revision_number newest =
+        found == m_items.end() ? m_complete_up_to : found->second.revision;
+    if (change.revision <= newest) {
         return;
     }
+    known_item& known = m_items[change.key];
+    m_keys_by_revision.erase({known.revision, change.key});
     known = {change.revision, change.value};
+    m_keys_by_revision.insert({known.revision, change.key});
+    m_deletions += change.value ? 0 : 1;
     m_revision = std::max(m_revision, change.revision);
     dispatch(change.key, change.revision, change.value);
     drop_old_deletions();
 }
 
 void record_mirror::drop_old_deletions() {
-    const auto is_deleted = [](const auto& item) { return !item.second.value; };
-    if (m_items.size() > most_deletions &&
-        static_cast<std::size_t>(std::count_if(m_items.begin(), m_items.end(), is_deleted)) >
-            most_deletions) {
-        std::erase_if(m_items, is_deleted);
+    if (m_deletions <= most_deletions) {
+        return;
     }
+    m_deletions = 0;
+    std::erase_if(m_items, [this](const auto& item) {
+        const bool is_deleted = !item.second.value;
+        if (is_deleted) {
+            m_keys_by_revision.erase({item.second.revision, item.first});
+        }
+        return is_deleted;
+    });
 }
 
 void record_mirror::dispatch(const std::string& key, revision_number revision,
@@ -72,34 +78,34 @@
 
 std::vector<platform::store_change> record_mirror::changes_since(revision_number since) const {
     std::vector<platform::store_change> changes;
-    for (const auto& [key, item] : m_items) {
-        if (item.revision <= since) {
-            continue;
-        }
-        // Records that daemons and operators write are ASCII; others are unreadable.
-        const bool is_text = !item.value || std::all_of(item.value->begin(), item.value->end(),
-                                                        [](char c) { return c > 0; });
-        if (is_text) {
-            changes.push_back({key, item.revision, item.value});
-        }
+    for (auto at = m_keys_by_revision.lower_bound({since + 1, {}}); at != m_keys_by_revision.end();
+         ++at) {
+        const known_item& item = m_items.at(at->second);
+        changes.push_back({at->second, item.revision, item.value});
     }
-    std::sort(changes.begin(), changes.end(),
-              [](const auto& a, const auto& b) { return a.revision < b.revision; });
     return changes;
 }
 
-void record_mirror::forget_unseen(const std::set<std::string>& seen) {
-    std::vector<platform::store_change> gone;
+void record_mirror::note_complete(revision_number revision) {
+    m_complete_up_to = std::max(m_complete_up_to, revision);
+}
+
+/// The listing does not say when an entry was deleted. With the listing's revision the deletion is
+/// also handed on to hosts that know the changes up to a moment before.
+void record_mirror::complete_listing(const std::set<std::string>& seen, revision_number revision) {
+    std::vector<std::string> gone;
     for (const auto& [key, item] : m_items) {
         const bool is_listed_kind =
             key.starts_with(platform::endpoint_prefix) || key.starts_with(own_prefix);
-        if (is_listed_kind && item.value && !seen.contains(key)) {
-            gone.push_back({key, item.revision + 1, std::nullopt});
+        const bool is_older = item.revision < revision;
+        if (is_listed_kind && is_older && item.value && !seen.contains(key)) {
+            gone.push_back(key);
         }
     }
-    for (const platform::store_change& change : gone) {
-        apply(change);
+    for (const std::string& key : gone) {
+        apply({key, revision, std::nullopt});
     }
+    note_complete(revision);
 }
 
 void record_mirror::apply_config(const std::string& value) {
@@ -156,21 +162,7 @@
 }
 
 void record_mirror::apply_alive(const host_id& host, bool is_alive) {
-    const auto known = m_alive.find(host);
-    const bool was_alive = known != m_alive.end() && !known->second;
-    if (is_alive && !was_alive) {
-        m_alive_since[host] = boot_now();
-    }
-    m_alive[host] = is_alive ? std::nullopt : std::optional{boot_now()};
-}
-
-std::set<host_id> record_mirror::voting_hosts(instant now) const {
-    std::set<host_id> voting = live_hosts(now);
-    std::erase_if(voting, [this, now](const host_id& host) {
-        const auto since = m_alive_since.find(host);
-        return since == m_alive_since.end() || since->second + settle_time > now;
-    });
-    return voting;
+    m_liveness.on_lease(host, is_alive, boot_now());
 }
 
 revision_number record_mirror::host_revision(const host_id& host) const {
@@ -178,43 +170,42 @@
     return found == m_items.end() ? 0 : found->second.revision;
 }
 
-std::set<host_id> record_mirror::live_hosts(instant now) const {
-    std::set<host_id> live;
-    for (const auto& [host, record] : m_hosts) {
-        const auto found = m_alive.find(host);
-        const bool is_alive =
-            found != m_alive.end() && (!found->second || *found->second + alive_grace > now);
-        const bool wrote_lately = m_host_written.at(host) + written_grace > now;
-        if (is_alive || wrote_lately) {
-            live.insert(host);
-        }
-    }
-    return live;
+std::size_t record_mirror::live_count(instant now) const {
+    return static_cast<std::size_t>(std::count_if(
+        m_hosts.begin(), m_hosts.end(),
+        [this, now](const auto& item) { return m_liveness.is_live(item.first, now); }));
 }
 
 /// While the store is away, leases of all hosts may end at once; then all registered hosts count.
 std::vector<host_place> record_mirror::places(instant now) const {
-    const auto live = live_hosts(now);
-    const bool most_live = live.size() * 2 >= m_hosts.size();
+    const bool most_live = live_count(now) * 2 >= m_hosts.size();
     std::vector<host_place> result;
     for (const auto& [host, record] : m_hosts) {
-        if (!most_live || live.contains(host)) {
+        if (!most_live || m_liveness.is_live(host, now)) {
             result.push_back({host, record.data_centre, record.cpu_share});
         }
     }
     return result;
 }
 
+std::set<endpoint_id> record_mirror::reported_unreachable() const {
+    std::set<endpoint_id> reported;
+    for (const auto& [host, record] : m_hosts) {
+        reported.insert(record.unreachable.begin(), record.unreachable.end());
+    }
+    return reported;
+}
+
 /// A host that is no longer registered may rely on primaries until its lease has ended.
 void record_mirror::apply_host(const host_id& host, const std::optional<std::string>& value) {
     auto record = value ? decode_host_record(*value) : std::nullopt;
     if (record) {
         m_hosts[host] = std::move(*record);
-        m_host_written[host] = boot_now();
-        m_departed.erase(host);
+        m_liveness.on_registered(host, boot_now());
     } else {
-        m_departed.emplace(host, boot_now());
+        m_liveness.on_removed(host, boot_now());
     }
+    ++m_hosts_version;
     m_fleet.changed.notify_all();
 }
 
@@ -255,14 +246,10 @@
 }
 
 void record_mirror::drop_departed_hosts(instant now) {
-    std::erase_if(m_departed, [this, now](const auto& departed) {
-        const bool is_over = departed.second + m_fleet.lease.length() <= now;
-        if (is_over) {
-            m_hosts.erase(departed.first);
-            m_host_written.erase(departed.first);
-        }
-        return is_over;
-    });
+    for (const host_id& host : m_liveness.take_removed(m_fleet.lease.length(), now)) {
+        m_hosts.erase(host);
+        ++m_hosts_version;
+    }
 }
 
 }  // namespace jasminelead::proxy
--- a/proxy/record_mirror.h
+++ b/proxy/record_mirror.h
@@ -1,13 +1,16 @@
 #pragma once
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "daemon/metrics.h"
+#include "jasminelead/host_liveness.h"
 #include "platform/store_client.h"
 #include "proxy/fleet_state.h"
 #include "proxy/own_records.h"
@@ -20,16 +23,20 @@
 public:
     record_mirror(fleet_state& fleet, daemon::metrics& counters);
 
-    /// Ignores a revision that is not above the known one of the key. No value: deleted.
+    /// Ignores a revision that is not above the known one of the key, or that an unknown key had
+    /// before the last complete listing. No value: deleted.
     void apply(const platform::store_change& change);
     /// Applies a record of the fleet that this daemon wrote.
     void apply_group(const group_id& group, const group_record& record);
-    /// Deletes the records that are not in a complete listing.
-    void forget_unseen(const std::set<std::string>& seen);
+    /// All changes up to `revision` were applied. An older entry of an unknown key was deleted.
+    void note_complete(revision_number revision);
+    /// A complete listing that began at `revision` was applied, with the keys `seen`. Records that
+    /// it lacks are deleted.
+    void complete_listing(const std::set<std::string>& seen, revision_number revision);
     /// Ends the use of endpoints and hosts whose records went away long enough ago.
     void drop_departed();
 
-    /// Changes above the revision, oldest first, without those of other kinds of keys.
+    /// Changes above the revision, oldest first.
     [[nodiscard]] std::vector<platform::store_change> changes_since(revision_number since) const;
     /// Highest revision of a record that was applied.
     [[nodiscard]] revision_number revision() const { return m_revision; }
@@ -37,16 +44,14 @@
     [[nodiscard]] const std::map<host_id, host_record>& hosts() const { return m_hosts; }
     /// Revision of the host's registration; 0 without one.
     [[nodiscard]] revision_number host_revision(const host_id& host) const;
-    /// False for a host whose registration was removed a moment ago.
-    [[nodiscard]] bool is_registered(const host_id& host) const {
-        return m_hosts.contains(host) && !m_departed.contains(host);
-    }
-    /// Registered hosts that renew their lease, or stopped only a moment ago.
-    [[nodiscard]] std::set<host_id> live_hosts(instant now) const;
-    /// Live hosts whose view of the endpoints counts: they have renewed their lease for a while.
-    [[nodiscard]] std::set<host_id> voting_hosts(instant now) const;
+    [[nodiscard]] const host_liveness& liveness() const { return m_liveness; }
+    /// Grows with each change of `hosts` and of their registrations.
+    [[nodiscard]] std::uint64_t hosts_version() const { return m_hosts_version; }
+    [[nodiscard]] std::size_t live_count(instant now) const;
     /// Registered hosts that can take work from others.
     [[nodiscard]] std::vector<host_place> places(instant now) const;
+    /// Endpoints that some host cannot reach, as the registrations say.
+    [[nodiscard]] std::set<endpoint_id> reported_unreachable() const;
     /// Revision up to which the host has stopped using replaced primaries of the group.
     [[nodiscard]] revision_number stopped(const group_id& group, const host_id& host) const;
     void note_stopped(const group_id& group, const host_id& host, revision_number revision);
@@ -70,14 +75,15 @@
     fleet_state& m_fleet;
     daemon::metrics& m_counters;
     std::map<std::string, known_item> m_items;
+    std::set<std::pair<revision_number, std::string>> m_keys_by_revision;
+    std::size_t m_deletions = 0;  ///< Since old ones were dropped.
     std::map<host_id, host_record> m_hosts;
-    std::map<host_id, instant> m_host_written;          ///< When its record last changed.
-    std::map<host_id, std::optional<instant>> m_alive;  ///< With the end of the lease.
-    std::map<host_id, instant> m_alive_since;
-    std::map<host_id, instant> m_departed;                 ///< Hosts that are no longer registered.
+    std::uint64_t m_hosts_version = 0;
+    host_liveness m_liveness;
     std::map<endpoint_id, instant> m_lapsed;               ///< Endpoints without an entry.
     std::map<std::string, revision_number> m_stopped_use;  ///< By key.
     revision_number m_revision = 0;
+    revision_number m_complete_up_to = 0;
 };
 
 }  // namespace jasminelead::proxy
--- a/proxy/store_sync.cc
+++ b/proxy/store_sync.cc
@@ -90,6 +90,7 @@
         return false;
     }
     m_confirmed_hosts.clear();
+    m_confirmed_hosts_version.reset();
     for (const platform::store_item& item : listing.value->items) {
         m_mirror.apply(to_change(item));
         const auto host = host_of_key(item.key) ? decode_host_record(item.value) : std::nullopt;
@@ -137,13 +138,8 @@
     // The store may answer this host while it turns the reader away.
     m_followed = confirmed ? std::optional{boot_now()} : std::nullopt;
     m_behind_since.reset();
-    m_watched = std::max(m_watched.value_or(0), revision);
-    m_confirmed_hosts.clear();
-    for (const auto& [host, record] : m_mirror.hosts()) {
-        if (m_mirror.is_registered(host)) {
-            m_confirmed_hosts[host] = record.incarnation;
-        }
-    }
+    note_watched(revision);
+    note_confirmed_hosts();
     if (confirmed) {
         on_confirmed(*confirmed);
     }
@@ -151,6 +147,20 @@
     acknowledge_changes();
 }
 
+/// A reader's records name the hosts that it has confirmed.
+void store_sync::note_confirmed_hosts() {
+    if (m_confirmed_hosts_version == m_mirror.hosts_version()) {
+        return;
+    }
+    m_confirmed_hosts_version = m_mirror.hosts_version();
+    m_confirmed_hosts.clear();
+    for (const auto& [host, record] : m_mirror.hosts()) {
+        if (m_mirror.liveness().is_registered(host)) {
+            m_confirmed_hosts[host] = record.incarnation;
+        }
+    }
+}
+
 /// Reloads when the store has changed and the watch does not tell.
 void store_sync::check_watch(revision_number store_revision, instant sent) {
     const bool behind = m_watched && *m_watched < store_revision;
--- a/proxy/store_sync.h
+++ b/proxy/store_sync.h
@@ -68,6 +68,8 @@
     bool load_config();
     void on_confirmed(instant sent);
     void check_watch(revision_number store_revision, instant sent);
+    void note_watched(revision_number revision);
+    void note_confirmed_hosts();
     void run_keep_alive();
     bool keep_alive();
     void run_publish();
@@ -96,6 +98,8 @@
     bool m_was_registered = false;          ///< By an earlier process of this host.
     std::optional<instant> m_confirmed;
     std::map<host_id, incarnation_number> m_confirmed_hosts;
+    /// Of the mirror's hosts that `m_confirmed_hosts` was taken from; nothing after a listing.
+    std::optional<std::uint64_t> m_confirmed_hosts_version;
     platform::lease_id m_lease = platform::no_lease;
     bool m_registered = false;
     bool m_store_lost = false;
--- a/proxy/store_sync_watch.cc
+++ b/proxy/store_sync_watch.cc
@@ -55,12 +55,18 @@
     for (const platform::store_change& change : result.value->changes) {
         m_mirror.apply(change);
     }
-    m_watched = std::max(m_watched.value_or(0), result.value->revision);
+    note_watched(result.value->revision);
     create_missing_records();
     acknowledge_changes();
     return true;
 }
 
+/// All changes up to `revision` were applied.
+void store_sync::note_watched(revision_number revision) {
+    m_watched = std::max(m_watched.value_or(0), revision);
+    m_mirror.note_complete(revision);
+}
+
 bool store_sync::load() {
     std::set<std::string> seen;
     // Changes after this first answer are received by the watch.
@@ -74,8 +80,8 @@
         !load_prefix(own_prefix, seen)) {
         return false;
     }
-    m_mirror.forget_unseen(seen);
-    m_watched = std::max(m_watched.value_or(0), from);
+    m_mirror.complete_listing(seen, from);
+    note_watched(from);
     create_missing_records();
     acknowledge_changes();
     return true;
--- /dev/null
+++ b/src/host_liveness.cc
@@ -0,0 +1,93 @@
+#include "jasminelead/host_liveness.h"
+
+#include <algorithm>
+
+namespace jasminelead {
+namespace {
+
+using namespace literals;
+
+// A lease may end early by mistake, and is then granted again.
+constexpr duration lease_grace = 300_ms;
+// A host that was cut off needs this time to find out what it can reach again.
+constexpr duration settle_time = 1_s;
+constexpr duration written_grace = 1500_ms;
+
+}  // namespace
+
+const host_liveness::entry* host_liveness::find(const host_id& host) const {
+    const auto found = m_hosts.find(host);
+    return found == m_hosts.end() ? nullptr : &found->second;
+}
+
+void host_liveness::on_registered(const host_id& host, instant now) {
+    entry& known = m_hosts[host];
+    known.written = now;
+    known.removed.reset();
+}
+
+void host_liveness::on_removed(const host_id& host, instant now) {
+    entry& known = m_hosts[host];
+    if (!known.removed) {
+        known.removed = now;
+    }
+}
+
+void host_liveness::on_lease(const host_id& host, bool is_held, instant now) {
+    entry& known = m_hosts[host];
+    if (is_held && !known.holds_lease) {
+        known.lease_since = now;
+    }
+    if (!is_held) {
+        known.lease_ended = now;
+    }
+    known.holds_lease = is_held;
+}
+
+bool host_liveness::is_live(const entry& known, instant now) {
+    const bool has_lease =
+        known.holds_lease || (known.lease_ended && *known.lease_ended + lease_grace > now);
+    return known.written && (has_lease || *known.written + written_grace > now);
+}
+
+bool host_liveness::is_voting(const entry& known, instant now) {
+    return is_live(known, now) && known.lease_since && *known.lease_since + settle_time <= now;
+}
+
+bool host_liveness::is_registered(const host_id& host) const {
+    const entry* const known = find(host);
+    return known != nullptr && known->written && !known->removed;
+}
+
+bool host_liveness::is_live(const host_id& host, instant now) const {
+    const entry* const known = find(host);
+    return known != nullptr && is_live(*known, now);
+}
+
+bool host_liveness::is_voting(const host_id& host, instant now) const {
+    const entry* const known = find(host);
+    return known != nullptr && is_voting(*known, now);
+}
+
+std::size_t host_liveness::voting_count(instant now) const {
+    return static_cast<std::size_t>(
+        std::count_if(m_hosts.begin(), m_hosts.end(),
+                      [now](const auto& item) { return is_voting(item.second, now); }));
+}
+
+std::vector<host_id> host_liveness::take_removed(duration after, instant now) {
+    std::vector<host_id> taken;
+    for (auto& [host, known] : m_hosts) {
+        if (known.removed && *known.removed + after <= now) {
+            known.written.reset();
+            known.removed.reset();
+            taken.push_back(host);
+        }
+    }
+    std::erase_if(m_hosts, [](const auto& item) {
+        return !item.second.written && !item.second.removed && !item.second.holds_lease;
+    });
+    return taken;
+}
+
+}  // namespace jasminelead
--- /dev/null
+++ b/test/record_mirror_test.cc
@@ -0,0 +1,122 @@
+#include "proxy/record_mirror.h"
+
+#include <catch2/catch.hpp>
+
+#include "proxy/peer_messages.h"
+
+using namespace jasminelead;
+using namespace jasminelead::literals;
+using namespace jasminelead::proxy;
+
+namespace {
+
+std::string endpoint_value(const std::string& state = "ready") {
+    return R"({"service":"shows","addr":"127.0.0.1:1","zone":"dc","version":"v1","slots":3,"state":")" +
+           state + R"(","coldLeftMs":0,"dbRole":"replica","seq":1})";
+}
+
+/// A mirror on a worker of its own.
+struct mirror_fixture {
+    daemon::worker home;
+    daemon::metrics counters;
+    fleet_state fleet{home, {host_id{"h1"}, data_centre_id{"dc"}, 0.25}};
+    record_mirror mirror{fleet, counters};
+
+    bool lists(const std::string& id) { return fleet.pool(endpoint_id{id}) != nullptr; }
+    bool hands_on_deletion(const std::string& key, revision_number known) {
+        const auto changes = mirror.changes_since(known);
+        return std::any_of(changes.begin(), changes.end(), [&key](const auto& change) {
+            return change.key == key && !change.value;
+        });
+    }
+};
+
+}  // namespace
+
+TEST_CASE("changes are handed on in the order of their revisions") {
+    mirror_fixture f;
+    f.mirror.apply({"servers/b", 7, endpoint_value()});
+    f.mirror.apply({"servers/a", 9, endpoint_value()});
+    f.mirror.apply({"servers/b", 12, endpoint_value("draining")});
+    const auto changes = f.mirror.changes_since(7);
+    REQUIRE(changes.size() == 2);
+    CHECK(changes[0].key == "servers/a");
+    CHECK(changes[1].key == "servers/b");
+    CHECK(changes[1].revision == 12);
+    CHECK(f.mirror.changes_since(12).empty());
+}
+
+TEST_CASE("a revision that is not above the known one changes nothing") {
+    mirror_fixture f;
+    f.mirror.apply({"servers/a", 9, std::nullopt});
+    f.mirror.apply({"servers/a", 8, endpoint_value()});
+    CHECK_FALSE(f.lists("a"));
+}
+
+// Guards against an endpoint that left and stays in use on the hosts that follow a reader: the
+// reader's watch had lost its history, and the listing does not say when the entry went away.
+TEST_CASE("an entry that a listing lacks is handed on as deleted") {
+    mirror_fixture f;
+    f.mirror.apply({"servers/a", 50, endpoint_value()});
+    f.mirror.apply({"servers/b", 90, endpoint_value()});
+    f.mirror.complete_listing({"servers/b"}, 120);
+    CHECK(f.hands_on_deletion("servers/a", 100));
+    CHECK_FALSE(f.hands_on_deletion("servers/b", 0));
+}
+
+TEST_CASE("an entry that is newer than a listing is kept") {
+    mirror_fixture f;
+    f.mirror.apply({"servers/a", 125, endpoint_value()});
+    f.mirror.complete_listing({}, 120);
+    CHECK_FALSE(f.hands_on_deletion("servers/a", 0));
+}
+
+// Guards against an endpoint or a host that left and is in use again after this process started
+// anew: a peer that was cut off from the store still hands on its entry.
+TEST_CASE("a peer's old entry does not come back after a complete listing") {
+    mirror_fixture f;
+    f.mirror.apply({"servers/b", 80, endpoint_value()});
+    f.mirror.complete_listing({"servers/b"}, 120);
+    f.mirror.apply({"servers/a", 90, endpoint_value()});
+    CHECK_FALSE(f.lists("a"));
+    f.mirror.apply(
+        {"jasminelead/fleet/host/h9", 95,
+         encode_host_record({host_id{"h9"}, 1, "127.0.0.1:1", data_centre_id{"dc"}, 0.25, {}})});
+    CHECK(f.mirror.hosts().empty());
+    f.mirror.apply({"servers/a", 130, endpoint_value()});
+    CHECK(f.lists("a"));
+}
+
+// Guards against an old entry that comes back once its deletion was forgotten.
+TEST_CASE("entries stay deleted when old deletions are dropped") {
+    mirror_fixture f;
+    revision_number revision = 1;
+    for (int i = 0; i < 1500; ++i) {
+        const std::string key = "servers/e" + std::to_string(i);
+        f.mirror.apply({key, ++revision, endpoint_value()});
+        f.mirror.apply({key, ++revision, std::nullopt});
+        f.mirror.note_complete(revision);
+    }
+    f.mirror.apply({"servers/e1", 4, endpoint_value()});
+    const auto changes = f.mirror.changes_since(0);
+    CHECK(std::none_of(changes.begin(), changes.end(), [](const auto& change) {
+        return change.key == "servers/e1" && change.value;
+    }));
+    CHECK(changes.size() <= 1100);
+}
+
+// Guards against records that followers never receive because some byte of them is no ASCII.
+TEST_CASE("a value with any bytes is handed on unchanged") {
+    std::string bytes;
+    for (int byte = 0; byte < 256; ++byte) {
+        bytes.push_back(static_cast<char>(byte));
+    }
+    mirror_fixture f;
+    f.mirror.apply({"servers/odd", 5, bytes});
+    peer_answer answer;
+    answer.changes = f.mirror.changes_since(0);
+    const auto received = decode_answer(encode_answer(answer));
+    REQUIRE(received);
+    REQUIRE(received->changes.size() == 1);
+    CHECK(received->changes.front().value == bytes);
+}
