Start hosts with few calls of the store

Cause: a starting host made about 17 calls: two for its registration, two for its lease, four or five listings, confirmations and watches for more than a second, because its reader did not know it before the reader's next listing. 195 hosts made 3,107 calls (renewals count a tenth) in 15 s, of which renewals are 546 and the readers' confirmations 234.

Ruled out: the pace of the watch alone (3,335 calls with readers known from the first listing); reachability reports (none).

Change: the lease is granted with the registration in one transaction, on the condition that the host is new; one listing of all keys loads and confirms; readers know a host as soon as their watch has told of its registration, so that it follows at once. Calls are counted by kind.

--- a/proxy/peer_sync.cc
+++ b/proxy/peer_sync.cc
@@ -266,7 +266,7 @@
     if (lease_age < duration::max()) {
         reply.lease_age = lease_age;
     }
-    reply.knows_sender = m_sync.has_confirmed(question->host, question->incarnation);
+    reply.knows_sender = m_sync.knows_host(question->host, question->incarnation);
     reply.is_replacing = m_is_replacing;
     const duration age = m_sync.confirmed_age(boot_now());
     if (age < duration::max()) {
--- a/proxy/store_sync.cc
+++ b/proxy/store_sync.cc
@@ -35,7 +35,7 @@
       m_own_record{options.host,      daemon::wall_clock_incarnation(),
                    options.peer,      options.data_centre,
                    options.cpu_share, {}},
-      m_store{fleet.home().io(), options.store} {}
+      m_store{fleet.home().io(), options.store, counters} {}
 
 void store_sync::start() {
     m_fleet.home().spawn([this] { run_watch(); });
@@ -64,10 +64,9 @@
     while (!m_stopped) {
         const instant begun = boot_now();
         if (!m_registered) {
-            note_earlier_registration();
-            register_host();
+            enroll();
         }
-        if (!is_following(boot_now())) {
+        if (is_confirm_due(boot_now())) {
             confirm();
         }
         m_mirror.drop_departed();
@@ -77,6 +76,22 @@
     }
 }
 
+/// The first listing of all keys confirms as well.
+bool store_sync::is_confirm_due(instant now) const {
+    return m_watched && !is_following(now) && confirmed_age(now) >= confirm_interval / 2;
+}
+
+/// Whoever replaces a primary asks all hosts that were registered before its mark. A host that
+/// registered later learns of the mark here, because all changes before are handed on.
+bool store_sync::knows_host(const host_id& host, incarnation_number incarnation) const {
+    const auto found = m_mirror.hosts().find(host);
+    const bool is_registered = found != m_mirror.hosts().end() &&
+                               found->second.incarnation == incarnation &&
+                               m_mirror.liveness().is_registered(host);
+    return has_confirmed(host, incarnation) ||
+           (is_registered && m_mirror.host_revision(host) <= complete_up_to());
+}
+
 bool store_sync::has_confirmed(const host_id& host, incarnation_number incarnation) const {
     const auto found = m_confirmed_hosts.find(host);
     return found != m_confirmed_hosts.end() && found->second == incarnation;
@@ -89,9 +104,18 @@
     if (!listing || !listing.value->is_complete) {
         return false;
     }
+    if (on_fleet_listed(listing.value->items, sent)) {
+        check_watch(listing.value->revision, sent);
+    }
+    return true;
+}
+
+/// The items hold all records of the fleet as they were at one moment after `sent`. False when this
+/// host is not registered.
+bool store_sync::on_fleet_listed(std::span<const platform::store_item> items, instant sent) {
     m_confirmed_hosts.clear();
     m_confirmed_hosts_version.reset();
-    for (const platform::store_item& item : listing.value->items) {
+    for (const platform::store_item& item : items) {
         m_mirror.apply(to_change(item));
         const auto host = host_of_key(item.key) ? decode_host_record(item.value) : std::nullopt;
         if (host) {
@@ -102,10 +126,9 @@
         // A fleet that does not know this daemon would not ask it before replacing a primary.
         m_registered = false;
         m_fleet.lease.revoke();
-        return true;
+        return false;
     }
     on_confirmed(sent);
-    check_watch(listing.value->revision, sent);
     acknowledge_changes();
     return true;
 }
--- a/proxy/store_sync.h
+++ b/proxy/store_sync.h
@@ -3,6 +3,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 
 #include "daemon/metrics.h"
@@ -39,8 +40,9 @@
     [[nodiscard]] bool may_replace(instant now) const;
     /// Time since the store was last known to hold the records that are known here.
     [[nodiscard]] duration confirmed_age(instant now) const;
-    /// True when the last confirmed listing named this incarnation of the host.
-    [[nodiscard]] bool has_confirmed(const host_id& host, incarnation_number incarnation) const;
+    /// True when this incarnation of the host is registered, and all changes up to its registration
+    /// are known here.
+    [[nodiscard]] bool knows_host(const host_id& host, incarnation_number incarnation) const;
     /// True once this host is registered and knows all records, so that it can follow a reader.
     [[nodiscard]] bool can_follow() const { return m_registered && m_watched && m_confirmed; }
     /// True while a reader hands on the records, so that the store is not asked.
@@ -63,9 +65,10 @@
     void run_watch();
     bool watch_once();
     void run_confirm();
+    bool on_fleet_listed(std::span<const platform::store_item> items, instant sent);
     bool load();
-    bool load_prefix(std::string_view prefix, std::set<std::string>& seen);
-    bool load_config();
+    bool load_following_pages(std::string last, std::set<std::string>& seen);
+    void apply_page(const platform::store_listing& page, std::set<std::string>& seen);
     void on_confirmed(instant sent);
     void check_watch(revision_number store_revision, instant sent);
     void note_watched(revision_number revision);
@@ -74,6 +77,11 @@
     bool keep_alive();
     void run_publish();
     void publish_reachability();
+    [[nodiscard]] bool has_confirmed(const host_id& host, incarnation_number incarnation) const;
+    [[nodiscard]] bool is_confirm_due(instant now) const;
+    void note_registered(revision_number revision);
+    void enroll();
+    bool enroll_as_newcomer();
     bool register_host();
     void note_earlier_registration();
     void create_missing_records();
@@ -96,6 +104,7 @@
     std::optional<instant> m_first_confirmed;
     std::optional<instant> m_steady_since;  ///< The store has answered since then.
     bool m_was_registered = false;          ///< By an earlier process of this host.
+    bool m_may_be_enrolled = false;         ///< A try to register may have been carried out.
     std::optional<instant> m_confirmed;
     std::map<host_id, incarnation_number> m_confirmed_hosts;
     /// Of the mirror's hosts that `m_confirmed_hosts` was taken from; nothing after a listing.
--- a/proxy/store_sync_registration.cc
+++ b/proxy/store_sync_registration.cc
@@ -29,7 +29,10 @@
 void store_sync::run_keep_alive() {
     retry_pacer pacer;
     while (!m_stopped) {
-        if (keep_alive()) {
+        if (!m_registered && !m_confirmed) {
+            // The registration brings the first lease.
+            pause(publish_interval);
+        } else if (keep_alive()) {
             pacer.on_success();
             pause(alive_interval);
         } else {
@@ -87,6 +90,36 @@
     }
 }
 
+/// Registers this process. A host that the fleet does not know costs two calls of the store.
+void store_sync::enroll() {
+    const bool is_first_try = !m_first_confirmed && !m_may_be_enrolled;
+    if (is_first_try && enroll_as_newcomer()) {
+        return;
+    }
+    note_earlier_registration();
+    register_host();
+}
+
+/// Succeeds only when the host was not registered before.
+bool store_sync::enroll_as_newcomer() {
+    const auto granted = m_store.grant_lease(alive_ttl_ms, call_deadline());
+    if (!granted) {
+        return false;
+    }
+    m_may_be_enrolled = true;
+    platform::store_transaction transaction;
+    transaction.conditions.push_back({host_key(m_self), 0});
+    transaction.updates.push_back(
+        {host_key(m_self), encode_host_record(m_own_record), platform::no_lease});
+    transaction.updates.push_back({alive_key(m_self), "{}", *granted.value});
+    const auto result = m_store.commit(transaction, call_deadline());
+    if (result) {
+        m_lease = *granted.value;
+        note_registered(*result.value);
+    }
+    return result.value.has_value();
+}
+
 /// Hosts that the store turned away learn of a new one only from their peers.
 void store_sync::note_earlier_registration() {
     if (m_first_confirmed || m_registered) {
@@ -105,16 +138,20 @@
     const auto result = m_store.commit(transaction, call_deadline());
     note_store(result.fault);
     if (result) {
-        m_registered = true;
-        log_line{log_class::change, "host_registered"}
-            .with("incarnation", m_own_record.incarnation)
-            .with("unreachable_endpoints", m_own_record.unreachable.size())
-            .with("revision", *result.value)
-            .write();
+        note_registered(*result.value);
     }
     return result.value.has_value();
 }
 
+void store_sync::note_registered(revision_number revision) {
+    m_registered = true;
+    log_line{log_class::change, "host_registered"}
+        .with("incarnation", m_own_record.incarnation)
+        .with("unreachable_endpoints", m_own_record.unreachable.size())
+        .with("revision", revision)
+        .write();
+}
+
 void store_sync::create_missing_records() {
     // One of the readers is enough, and each try is a call.
     if (!m_fleet.config.current() || !m_fleet.store_readers().empty()) {
--- a/proxy/store_sync_watch.cc
+++ b/proxy/store_sync_watch.cc
@@ -18,10 +18,13 @@
 constexpr std::uint32_t watch_wait_ms = 10'000;
 constexpr duration watch_slack = 1_s;
 // Changes that come in quick succession arrive with one call.
-constexpr duration watch_pause = 30_ms;
+constexpr duration watch_pause = 60_ms;
 // A host of a large fleet soon follows a reader and needs no watch.
 constexpr duration rare_watch_pause = 400_ms;
 constexpr duration follow_poll = 100_ms;
+constexpr duration registration_poll = 20_ms;
+// All keys: the configuration, the endpoints and the fleet's own records.
+constexpr std::string_view all_keys;
 
 }  // namespace
 
@@ -33,6 +36,10 @@
             continue;
         }
         const bool is_first = !m_watched;
+        if (is_first && !m_registered) {
+            pause(registration_poll);
+            continue;
+        }
         if (is_first ? load() : watch_once()) {
             pacer.on_success();
             pause(is_first || !m_fleet.store_readers().empty() ? rare_watch_pause : watch_pause);
@@ -44,7 +51,7 @@
 
 bool store_sync::watch_once() {
     const auto deadline = to_steady(boot_now() + duration::from_ms(watch_wait_ms) + watch_slack);
-    const auto result = m_store.watch("", *m_watched, watch_wait_ms, deadline);
+    const auto result = m_store.watch(all_keys, *m_watched, watch_wait_ms, deadline);
     if (!result) {
         m_counters.count("watch_faults", platform::to_string(result.fault));
         if (result.fault == platform::store_fault::history_lost) {
@@ -67,49 +74,50 @@
     m_mirror.note_complete(revision);
 }
 
+/// One listing for all keys. When it fits into one page, it is also a confirmation.
 bool store_sync::load() {
-    std::set<std::string> seen;
-    // Changes after this first answer are received by the watch.
-    const auto first = m_store.list(fleet_prefix, "", call_deadline());
+    const instant sent = boot_now();
+    const auto first = m_store.list(all_keys, "", call_deadline());
     note_store(first.fault);
     if (!first) {
         return false;
     }
+    // Later changes are received by the watch.
     const revision_number from = first.value->revision;
-    if (!load_config() || !load_prefix(platform::endpoint_prefix, seen) ||
-        !load_prefix(own_prefix, seen)) {
+    std::set<std::string> seen;
+    apply_page(*first.value, seen);
+    if (first.value->is_complete || first.value->items.empty()) {
+        on_fleet_listed(first.value->items, sent);
+    } else if (!load_following_pages(first.value->items.back().key, seen)) {
         return false;
     }
     m_mirror.complete_listing(seen, from);
     note_watched(from);
+    // Most hosts learn here that they read the store only until they follow another one.
+    m_fleet.set_hosts(m_mirror.places(boot_now()));
     create_missing_records();
     acknowledge_changes();
     return true;
 }
 
-bool store_sync::load_config() {
-    const auto item = m_store.get(platform::config_key, call_deadline());
-    if (item) {
-        m_mirror.apply(to_change(*item.value));
+void store_sync::apply_page(const platform::store_listing& page, std::set<std::string>& seen) {
+    for (const platform::store_item& item : page.items) {
+        m_mirror.apply(to_change(item));
+        seen.insert(item.key);
     }
-    return item || item.fault == platform::store_fault::not_found;
 }
 
-bool store_sync::load_prefix(std::string_view prefix, std::set<std::string>& seen) {
-    std::string last;
+bool store_sync::load_following_pages(std::string last, std::set<std::string>& seen) {
     for (;;) {
-        const auto page = m_store.list(prefix, last, call_deadline());
+        const auto page = m_store.list(all_keys, last, call_deadline());
         if (!page) {
             return false;
         }
-        for (const platform::store_item& item : page.value->items) {
-            m_mirror.apply(to_change(item));
-            seen.insert(item.key);
-            last = item.key;
-        }
+        apply_page(*page.value, seen);
         if (page.value->is_complete || page.value->items.empty()) {
             return true;
         }
+        last = page.value->items.back().key;
     }
 }
 
