Wait for writes at gateways that were only silent, and contain errors

Cause: a gateway that answered neither its statements for 200 ms nor a probe for 150 ms had all its calls given up. Writes and commits among them had to be answered as unknown although their answers were on the way. A gateway's answer with status 500 counted as not run, so that a write could have been repeated. An exception in a page or a session ended the process, and a failing accept was repeated without a pause.

Change: writes and commits wait for their answer until their own timeout (survives_abort); reads and steps of transactions are still given up, because they can be repeated. Only status 400 and 404 say that a gateway did not run a statement. An unexpected error ends one request or one session and leaves a line; accepting pauses after a failure.

--- a/daemon/http_pool.cc
+++ b/daemon/http_pool.cc
@@ -20,7 +20,7 @@
     if (!reused) {
         client = std::make_shared<http_client>(m_io);
     }
-    m_busy.emplace(client, address);
+    m_busy.emplace(client, busy_call{address, request.survives_abort});
     answer result = exchange(client, request, reused);
     m_busy.erase(client);
     const auto* const error = std::get_if<endpoint_error>(&result);
@@ -77,8 +77,8 @@
     if (idle != m_idle.end()) {
         m_idle.erase(idle);
     }
-    for (const auto& [client, called] : m_busy) {
-        if (called == address) {
+    for (const auto& [client, busy] : m_busy) {
+        if (busy.address == address && !busy.survives_abort) {
             client->close();
         }
     }
@@ -87,7 +87,7 @@
 void http_pool::close() {
     m_closed = true;
     m_idle.clear();
-    for (const auto& [client, address] : m_busy) {
+    for (const auto& [client, busy] : m_busy) {
         client->close();
     }
 }
--- a/daemon/http_pool.h
+++ b/daemon/http_pool.h
@@ -23,6 +23,8 @@
     std::span<const http_header> headers;
     bool repeatable = false;  ///< Tried again when a reused connection turns out to be closed.
     bool* sent = nullptr;     ///< Set when the request may have reached the other side.
+    /// Waits for its answer until the deadline, also when `abort` gives up the other calls.
+    bool survives_abort = false;
 };
 
 /// Keeps idle HTTP connections for reuse. Belongs to one thread.
@@ -34,8 +36,8 @@
 
     /// Suspends the calling fiber.
     std::variant<http_response, endpoint_error> call(const http_call& request);
-    /// Ends the calls in progress to the address with `endpoint_error::reset`, and closes its idle
-    /// connections.
+    /// Ends the calls in progress to the address with `endpoint_error::reset`, but for those that
+    /// survive it, and closes its idle connections.
     void abort(std::string_view address);
     /// Closes all connections; calls in progress end with an error.
     void close();
@@ -55,7 +57,11 @@
     std::size_t m_most_idle;
     duration m_longest_idle;
     std::map<std::string, std::vector<idle_client>, std::less<>> m_idle;
-    std::map<client_ptr, std::string> m_busy;  ///< With the address.
+    struct busy_call {
+        std::string address;
+        bool survives_abort = false;
+    };
+    std::map<client_ptr, busy_call> m_busy;
     bool m_closed = false;
 };
 
--- a/proxy/gateway_client.cc
+++ b/proxy/gateway_client.cc
@@ -26,6 +26,14 @@
 // The answer's way back, when the gateway used all of the statement's time.
 constexpr duration answer_slack = 60_ms;
 
+/// A gateway that was only silent for a while still answers. Giving up such a statement would leave
+/// its caller without an outcome, and nobody may repeat it.
+bool has_lasting_effect(const gateway_request& request) {
+    const bool writes =
+        request.action == gateway_action::run && request.statement.kind == access::write;
+    return writes || request.action == gateway_action::commit;
+}
+
 }  // namespace
 
 gateway_client::gateway_client(fleet_state& fleet, record_mirror& mirror, daemon::metrics& counters)
@@ -69,7 +77,7 @@
     if (calls.open++ == 0) {
         calls.quiet_since = boot_now();
     }
-    auto result = exchange(*address, encode_gateway_request(request, boot_now()), deadline);
+    auto result = exchange(*address, request, deadline);
     calls_of_host& after = m_calls[gateway];
     --after.open;
     if (const auto* const fault = std::get_if<gateway_fault>(&result)) {
@@ -91,8 +99,9 @@
 }
 
 std::variant<gateway_answer, gateway_fault> gateway_client::exchange(const std::string& address,
-                                                                     std::string_view body,
+                                                                     const gateway_request& request,
                                                                      instant deadline) {
+    const std::string body = encode_gateway_request(request, boot_now());
     bool sent = false;
     daemon::http_call call;
     call.address = address;
@@ -101,13 +110,15 @@
     call.deadline = to_steady(deadline + answer_slack);
     call.connect_deadline = to_steady(boot_now() + connect_timeout);
     call.sent = &sent;
+    call.survives_abort = has_lasting_effect(request);
     const auto result = m_pool.call(call);
     const auto* const response = std::get_if<daemon::http_response>(&result);
     if (response == nullptr) {
         return sent ? gateway_fault::lost : gateway_fault::not_sent;
     }
     if (response->status != 200) {
-        return gateway_fault::not_sent;
+        const bool refused_unread = response->status == 400 || response->status == 404;
+        return refused_unread ? gateway_fault::not_sent : gateway_fault::lost;
     }
     auto answer = decode_gateway_answer(response->body);
     if (!answer) {
--- a/proxy/gateway_client.h
+++ b/proxy/gateway_client.h
@@ -48,7 +48,8 @@
 
     std::optional<std::string> address_of(const host_id& gateway) const;
     std::variant<gateway_answer, gateway_fault> exchange(const std::string& address,
-                                                         std::string_view body, instant deadline);
+                                                         const gateway_request& request,
+                                                         instant deadline);
     void check_silence();
     void probe(const host_id& gateway);
     bool is_answering(const std::string& address);
--- a/proxy/gateway_server.cc
+++ b/proxy/gateway_server.cc
@@ -17,6 +17,20 @@
 constexpr duration abandoned_slack = 500_ms;
 constexpr duration unlimited_idle = 30_s;
 
+/// Counts work in progress, also when it ends with an exception.
+class running_count {
+public:
+    explicit running_count(std::uint32_t& count) : m_count{count} { ++m_count; }
+    ~running_count() { --m_count; }
+    running_count(const running_count&) = delete;
+    running_count& operator=(const running_count&) = delete;
+    running_count(running_count&&) = delete;
+    running_count& operator=(running_count&&) = delete;
+
+private:
+    std::uint32_t& m_count;
+};
+
 }  // namespace
 
 gateway_server::gateway_server(fleet_state& fleet, statement_router& router,
@@ -40,10 +54,8 @@
     if (!request) {
         return std::nullopt;
     }
-    ++m_running;
-    const gateway_answer result = handle(*request);
-    --m_running;
-    return encode_gateway_answer(result);
+    const running_count counted{m_running};
+    return encode_gateway_answer(handle(*request));
 }
 
 gateway_answer gateway_server::handle(gateway_request& request) {
@@ -155,9 +167,8 @@
 void gateway_server::drop(const transaction_map::iterator& at) {
     const auto held = at->second;
     m_transactions.erase(at);
-    ++m_running;
+    const running_count counted{m_running};
     m_router.roll_back(held->open);
-    --m_running;
 }
 
 void gateway_server::end_transactions() {
--- a/proxy/session.cc
+++ b/proxy/session.cc
@@ -1,6 +1,7 @@
 #include "proxy/session.h"
 
 #include <array>
+#include <exception>
 #include <type_traits>
 #include <utility>
 
@@ -34,6 +35,8 @@
             return "startup_refused";
         case session_end::too_large:
             return "too_large";
+        case session_end::unexpected_error:
+            return "unexpected_error";
     }
     return "by_caller";
 }
@@ -47,19 +50,33 @@
 
 void session::serve() {
     m_counters.add_connections(1);
-    if (start()) {
-        while (const auto line = read_line(idle_deadline())) {
-            if (!handle(*line)) {
-                break;
-            }
-        }
+    try {
+        serve_statements();
+        leave_transaction();
+    } catch (const std::exception& error) {
+        // The caller learns no outcome, which is true; other sessions go on.
+        m_end = session_end::unexpected_error;
+        log_line{log_class::change, "unexpected_error"}
+            .with("request", m_last_request)
+            .with("reason", error.what())
+            .write();
     }
     log_end();
-    leave_transaction();
     m_stream.close();
     m_counters.add_connections(-1);
 }
 
+void session::serve_statements() {
+    if (!start()) {
+        return;
+    }
+    while (const auto line = read_line(idle_deadline())) {
+        if (!handle(*line)) {
+            return;
+        }
+    }
+}
+
 steady_time session::idle_deadline() const {
     const bool limited = m_transaction.has_value() && m_transaction_config;
     const duration limit = limited ? m_transaction_config->transaction_idle_limit : duration{};
--- a/proxy/session.h
+++ b/proxy/session.h
@@ -17,7 +17,15 @@
 namespace jasminelead::proxy {
 
 /// Why a session ended.
-enum class session_end { by_caller, stopping, cut_off, grace_over, startup_refused, too_large };
+enum class session_end {
+    by_caller,
+    stopping,
+    cut_off,
+    grace_over,
+    startup_refused,
+    too_large,
+    unexpected_error
+};
 
 std::string_view to_string(session_end reason);
 
@@ -37,6 +45,7 @@
     void end_transaction() { m_abort_transaction = m_transaction_begun; }
 
 private:
+    void serve_statements();
     [[nodiscard]] session_activity activity();
     void end(session_end reason);
     void log_end();
--- a/proxy/session_daemon.cc
+++ b/proxy/session_daemon.cc
@@ -91,8 +91,16 @@
         }
         if (!error) {
             accept(std::move(socket));
+            accept_next();
+            return;
         }
-        accept_next();
+        m_counters.count("accept_faults", error.message());
+        m_home.spawn([this] {
+            boost::this_fiber::sleep_until(to_steady(boot_now() + accept_retry_pause));
+            if (m_acceptor.is_open()) {
+                accept_next();
+            }
+        });
     });
 }
 
--- a/proxy/status_pages.cc
+++ b/proxy/status_pages.cc
@@ -3,9 +3,12 @@
 #include <array>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <boost/fiber/operations.hpp>
+#include <exception>
 #include <utility>
 
 #include "proxy/clock.h"
+#include "proxy/event_log.h"
 
 namespace jasminelead::proxy {
 namespace {
@@ -79,8 +82,15 @@
         if (!error) {
             m_home.spawn([this, accepted = std::make_shared<daemon::tcp::socket>(
                                     std::move(socket))] { serve(std::move(*accepted)); });
+            accept_next();
+            return;
         }
-        accept_next();
+        m_home.spawn([this] {
+            boost::this_fiber::sleep_until(to_steady(boot_now() + accept_retry_pause));
+            if (m_acceptor.is_open()) {
+                accept_next();
+            }
+        });
     });
 }
 
@@ -94,6 +104,19 @@
     stream.close();
 }
 
+/// An unexpected error ends one request and not the process.
+page status_pages::make_page(std::string_view target, std::string_view body) const {
+    try {
+        return m_source(target, body);
+    } catch (const std::exception& error) {
+        log_line{log_class::change, "unexpected_error"}
+            .with("target", target)
+            .with("reason", error.what())
+            .write();
+        return {500, "text/plain", "unexpected error\n"};
+    }
+}
+
 /// False when the connection has to be closed.
 bool status_pages::answer_one(daemon::fiber_stream& stream, std::string& received) {
     http::request_parser<http::string_body> parser;
@@ -122,7 +145,7 @@
     }
     const bool keep_alive = parser.keep_alive();
     const std::string target{parser.get().target()};
-    const std::string answer = render(m_source(target, parser.get().body()), keep_alive);
+    const std::string answer = render(make_page(target, parser.get().body()), keep_alive);
     error = stream.write(boost::asio::buffer(answer), deadline);
     return !error && keep_alive;
 }
--- a/proxy/status_pages.h
+++ b/proxy/status_pages.h
@@ -9,6 +9,7 @@
 
 #include "daemon/fiber_stream.h"
 #include "daemon/worker.h"
+#include "jasminelead/types.h"
 
 namespace jasminelead::proxy {
 
@@ -34,6 +35,7 @@
     void accept_next();
     void serve(daemon::tcp::socket socket);
     bool answer_one(daemon::fiber_stream& stream, std::string& received);
+    [[nodiscard]] page make_page(std::string_view target, std::string_view body) const;
 
     daemon::worker& m_home;
     page_source m_source;
@@ -41,6 +43,9 @@
     std::set<daemon::fiber_stream*> m_open;
 };
 
+/// After a connection could not be accepted, as when all descriptors are in use.
+inline constexpr duration accept_retry_pause = duration::from_ms(50);
+
 /// Binds and listens; returns the reason when that fails.
 std::optional<std::string> open_listener(daemon::tcp::acceptor& acceptor,
                                          const std::string& address);
