Say in refusals why each endpoint was passed over

Cause: "no endpoint can answer now; not run" named no reason, so that a missing mark, a full endpoint and a lagging replica looked alike in the logs.

Change: an attempt keeps the last reason of each endpoint, and the line of a refusal names them.

--- a/proxy/statement_attempt.cc
+++ b/proxy/statement_attempt.cc
@@ -24,6 +24,19 @@
     return boot_now() >= give_up;
 }
 
+void statement_attempt::exclude(const endpoint_id& endpoint, std::string_view why) {
+    excluded.insert(endpoint);
+    passed_over[endpoint] = why;
+}
+
+std::string statement_attempt::passed_over_text() const {
+    std::string text;
+    for (const auto& [endpoint, why] : passed_over) {
+        text.append(text.empty() ? "" : " ").append(endpoint.str()).append("=").append(why);
+    }
+    return text;
+}
+
 work_request statement_attempt::work() const {
     const instant now = boot_now();
     const instant goal = statement.arrived + route.latency_goal;
--- a/proxy/statement_router.cc
+++ b/proxy/statement_router.cc
@@ -53,13 +53,21 @@
         candidate.is_primary = record != nullptr && record->primary == endpoint.entry.id;
         candidate.is_local = endpoint.entry.data_centre == m_fleet.data_centre();
         candidate.is_reachable = pool->health().is_reachable() && !pool->is_crowded_out();
+        if (!candidate.is_reachable) {
+            current.passed_over[candidate.id] =
+                pool->is_crowded_out() ? "connection_limit" : "unreachable";
+        } else if (!current.after && !candidate.is_primary) {
+            current.passed_over[candidate.id] = "no_mark";
+        }
         candidate.is_excluded = current.excluded.contains(endpoint.entry.id);
         // Without a required point only the primary answers, and only while it surely leads.
         if (candidate.is_primary && !current.after && !has_permit) {
             candidate.is_excluded = true;
+            current.passed_over[candidate.id] = "no_lease";
         }
         if (endpoint.entry.state == member_state::leaving && !candidate.is_primary) {
             candidate.is_excluded = true;
+            current.passed_over[candidate.id] = "leaving";
         }
         candidate.slots = endpoint.slots;
         candidate.running = pool->running();
@@ -137,7 +145,7 @@
         if (const auto* const why = std::get_if<reason>(&acquired)) {
             m_counters.count("retries", to_string(*why));
             current.last_reason = *why;
-            current.excluded.insert(endpoint);
+            current.exclude(endpoint, to_string(*why));
             continue;
         }
         const acquired_run& run = std::get<acquired_run>(acquired);
@@ -187,7 +195,7 @@
         if (current.is_over()) {
             return make_fault(statement_fault::timeout, "no answer within the timeout");
         }
-        current.excluded.insert(endpoint);
+        current.exclude(endpoint, to_string(*fault));
         return std::nullopt;
     }
     const auto& received = std::get<endpoint_answer>(answer);
@@ -206,7 +214,7 @@
                           received.fault_text);
     }
     if (*received.fault != statement_fault::unknown_prepared) {
-        current.excluded.insert(endpoint);
+        current.exclude(endpoint, to_string(*received.fault));
     }
     current.last_reason = *received.fault == statement_fault::busy
                               ? reason::overloaded
@@ -385,6 +393,9 @@
         .with("tries", current.tries)
         .with("config", m_fleet.config.version())
         .with("lease_age_ms", m_fleet.lease.age(now));
+    if (!success && !current.passed_over.empty()) {
+        line.with("passed_over", current.passed_over_text());
+    }
     if (current.after) {
         line.with("after_term", current.after->term).with("after", current.after->position);
     }
