Accept connections in one place, and register with the first lease

Cause: two accept loops and their pause after a failure stood twice. A host that starts again made three more calls in sequence than before, because the registration on the condition that the host is new fails for it.

Change: connection_listener binds, accepts and pauses for callers, pages and peers. A starting host reads its earlier registration, gets a lease and writes both in one transaction: three calls in each case.

--- /dev/null
+++ b/proxy/connection_listener.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+
+#include "daemon/fiber_stream.h"
+#include "daemon/worker.h"
+
+namespace jasminelead::proxy {
+
+/// Accepts connections on one address. Belongs to one worker.
+class connection_listener {
+public:
+    /// Receives each accepted socket, in a fiber of its own.
+    using handler = std::function<void(daemon::tcp::socket socket)>;
+
+    connection_listener(daemon::worker& home, handler on_accepted);
+
+    /// Binds and listens; returns the reason when that fails.
+    std::optional<std::string> open(const std::string& address);
+    /// Begins to accept. Only the worker's own thread may call it.
+    void start() { accept_next(); }
+    /// Refuses connections from now on.
+    void close();
+    [[nodiscard]] std::uint16_t port() const { return m_acceptor.local_endpoint().port(); }
+
+private:
+    void accept_next();
+    void accept_later();
+
+    daemon::worker& m_home;
+    handler m_on_accepted;
+    daemon::tcp::acceptor m_acceptor;
+};
+
+}  // namespace jasminelead::proxy
--- a/proxy/session_daemon.cc
+++ b/proxy/session_daemon.cc
@@ -40,7 +40,7 @@
       m_readiness{m_home, [this](auto, auto) { return readiness_page(); }},
       m_metrics{m_home, [this](auto target, auto) { return metrics_page(target); }},
       m_peer_pages{m_home, [this](auto target, auto body) { return peer_page(target, body); }},
-      m_acceptor{m_home.io()} {}
+      m_listener{m_home, [this](daemon::tcp::socket socket) { serve(std::move(socket)); }} {}
 
 session_daemon::~session_daemon() {
     stop_gracefully();
@@ -49,11 +49,11 @@
 }
 
 std::uint16_t session_daemon::port() const {
-    return m_acceptor.local_endpoint().port();
+    return m_listener.port();
 }
 
 std::optional<std::string> session_daemon::start() {
-    if (auto fault = open_listener(m_acceptor, m_settings.listen)) {
+    if (auto fault = m_listener.open(m_settings.listen)) {
         return fault;
     }
     if (auto fault = m_readiness.listen(m_settings.readiness)) {
@@ -77,41 +77,19 @@
         m_marks.start();
         m_gateways.start();
         m_gateway.start();
-        accept_next();
+        m_listener.start();
         m_home.spawn([this] { run_log_flush(); });
         m_home.spawn([this] { run_isolation_check(); });
     });
     return std::nullopt;
 }
 
-void session_daemon::accept_next() {
-    m_acceptor.async_accept([this](boost::system::error_code error, daemon::tcp::socket socket) {
-        if (error == boost::asio::error::operation_aborted || !m_acceptor.is_open()) {
-            return;
-        }
-        if (!error) {
-            accept(std::move(socket));
-            accept_next();
-            return;
-        }
-        m_counters.count("accept_faults", error.message());
-        m_home.spawn([this] {
-            boost::this_fiber::sleep_until(to_steady(boot_now() + accept_retry_pause));
-            if (m_acceptor.is_open()) {
-                accept_next();
-            }
-        });
-    });
-}
-
-void session_daemon::accept(daemon::tcp::socket socket) {
+void session_daemon::serve(daemon::tcp::socket socket) {
     const auto accepted =
         std::make_shared<session>(m_fleet, m_dispatcher, m_counters, std::move(socket));
     m_sessions.insert(accepted);
-    m_home.spawn([this, accepted] {
-        accepted->serve();
-        m_sessions.erase(accepted);
-    });
+    accepted->serve();
+    m_sessions.erase(accepted);
 }
 
 bool session_daemon::is_ready() const {
@@ -253,7 +231,8 @@
         const instant now = boot_now();
         if (now >= end_transactions) {
             m_gateway.end_transactions();
-            refuse_connections();
+            // A caller whose connection is refused has sent nothing and goes to another host.
+            m_listener.close();
         }
         const std::vector<std::shared_ptr<session>> open{m_sessions.begin(), m_sessions.end()};
         for (const auto& item : open) {
@@ -287,14 +266,8 @@
     m_stopped.notify_all();
 }
 
-/// A caller whose connection is refused has sent nothing and goes to another host.
-void session_daemon::refuse_connections() {
-    boost::system::error_code ignored;
-    m_acceptor.close(ignored);
-}
-
 void session_daemon::close_listeners() {
-    refuse_connections();
+    m_listener.close();
     m_readiness.stop();
     m_metrics.stop();
     m_peer_pages.stop();
--- a/proxy/session_daemon.h
+++ b/proxy/session_daemon.h
@@ -7,6 +7,7 @@
 
 #include "daemon/metrics.h"
 #include "daemon/worker.h"
+#include "proxy/connection_listener.h"
 #include "proxy/failover_agent.h"
 #include "proxy/fleet_state.h"
 #include "proxy/gateway_client.h"
@@ -50,8 +51,7 @@
     [[nodiscard]] daemon::metrics& counters() { return m_counters; }
 
 private:
-    void accept_next();
-    void accept(daemon::tcp::socket socket);
+    void serve(daemon::tcp::socket socket);
     [[nodiscard]] bool is_ready() const;
     page readiness_page();
     page metrics_page(std::string_view target);
@@ -61,7 +61,6 @@
     void run_isolation_check();
     void run_log_flush();
     void run_stop();
-    void refuse_connections();
     void close_listeners();
     void note_ready();
 
@@ -82,7 +81,7 @@
     status_pages m_readiness;
     status_pages m_metrics;
     status_pages m_peer_pages;
-    daemon::tcp::acceptor m_acceptor;
+    connection_listener m_listener;
     std::set<std::shared_ptr<session>> m_sessions;
     std::atomic<bool> m_stopping = false;
     std::atomic<bool> m_stopped = false;
--- a/proxy/status_pages.cc
+++ b/proxy/status_pages.cc
@@ -3,7 +3,6 @@
 #include <array>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
-#include <boost/fiber/operations.hpp>
 #include <exception>
 #include <utility>
 
@@ -16,7 +15,6 @@
 namespace http = boost::beast::http;
 using namespace literals;
 
-constexpr int backlog = 1024;
 constexpr std::size_t read_bytes = 4096;
 constexpr std::uint32_t most_header_bytes = 8 * 1024;
 // A statement of a peer may have 1 MiB, and JSON escapes can double it.
@@ -34,66 +32,26 @@
 
 }  // namespace
 
-std::optional<std::string> open_listener(daemon::tcp::acceptor& acceptor,
-                                         const std::string& address) {
-    const auto at = daemon::parse_address(address);
-    if (!at) {
-        return "not an address: " + address;
-    }
-    boost::system::error_code error;
-    acceptor.open(at->protocol(), error);
-    if (!error) {
-        acceptor.set_option(daemon::tcp::acceptor::reuse_address{true}, error);
-        acceptor.bind(*at, error);
-    }
-    if (!error) {
-        acceptor.listen(backlog, error);
-    }
-    if (error) {
-        return "cannot listen on " + address + ": " + error.message();
-    }
-    return std::nullopt;
-}
-
 status_pages::status_pages(daemon::worker& home, page_source source)
-    : m_home{home}, m_source{std::move(source)}, m_acceptor{home.io()} {}
+    : m_home{home},
+      m_source{std::move(source)},
+      m_listener{home, [this](daemon::tcp::socket socket) { serve(std::move(socket)); }} {}
 
 std::optional<std::string> status_pages::listen(const std::string& address) {
-    if (auto fault = open_listener(m_acceptor, address)) {
+    if (auto fault = m_listener.open(address)) {
         return fault;
     }
-    m_home.post([this] { accept_next(); });
+    m_home.post([this] { m_listener.start(); });
     return std::nullopt;
 }
 
 void status_pages::stop() {
-    boost::system::error_code ignored;
-    m_acceptor.close(ignored);
+    m_listener.close();
     for (daemon::fiber_stream* const stream : m_open) {
         stream->close();
     }
 }
 
-void status_pages::accept_next() {
-    m_acceptor.async_accept([this](boost::system::error_code error, daemon::tcp::socket socket) {
-        if (error == boost::asio::error::operation_aborted || !m_acceptor.is_open()) {
-            return;
-        }
-        if (!error) {
-            m_home.spawn([this, accepted = std::make_shared<daemon::tcp::socket>(
-                                    std::move(socket))] { serve(std::move(*accepted)); });
-            accept_next();
-            return;
-        }
-        m_home.spawn([this] {
-            boost::this_fiber::sleep_until(to_steady(boot_now() + accept_retry_pause));
-            if (m_acceptor.is_open()) {
-                accept_next();
-            }
-        });
-    });
-}
-
 void status_pages::serve(daemon::tcp::socket socket) {
     daemon::fiber_stream stream{m_home.io(), std::move(socket)};
     std::string received;
--- a/proxy/status_pages.h
+++ b/proxy/status_pages.h
@@ -9,7 +9,7 @@
 
 #include "daemon/fiber_stream.h"
 #include "daemon/worker.h"
-#include "jasminelead/types.h"
+#include "proxy/connection_listener.h"
 
 namespace jasminelead::proxy {
 
@@ -32,22 +32,14 @@
     void stop();
 
 private:
-    void accept_next();
     void serve(daemon::tcp::socket socket);
     bool answer_one(daemon::fiber_stream& stream, std::string& received);
     [[nodiscard]] page make_page(std::string_view target, std::string_view body) const;
 
     daemon::worker& m_home;
     page_source m_source;
-    daemon::tcp::acceptor m_acceptor;
+    connection_listener m_listener;
     std::set<daemon::fiber_stream*> m_open;
 };
 
-/// After a connection could not be accepted, as when all descriptors are in use.
-inline constexpr duration accept_retry_pause = duration::from_ms(50);
-
-/// Binds and listens; returns the reason when that fails.
-std::optional<std::string> open_listener(daemon::tcp::acceptor& acceptor,
-                                         const std::string& address);
-
 }  // namespace jasminelead::proxy
--- a/proxy/store_sync.h
+++ b/proxy/store_sync.h
@@ -79,10 +79,9 @@
     void publish_reachability();
     [[nodiscard]] bool has_confirmed(const host_id& host, incarnation_number incarnation) const;
     [[nodiscard]] bool is_confirm_due(instant now) const;
-    void note_registered(revision_number revision);
     void enroll();
-    bool enroll_as_newcomer();
-    bool register_host();
+    /// Writes the host's record, and `also` in the same transaction.
+    bool register_host(const std::optional<platform::key_update>& also = std::nullopt);
     void note_earlier_registration();
     void create_missing_records();
     void create_record(const group_id& group);
@@ -104,7 +103,6 @@
     std::optional<instant> m_first_confirmed;
     std::optional<instant> m_steady_since;  ///< The store has answered since then.
     bool m_was_registered = false;          ///< By an earlier process of this host.
-    bool m_may_be_enrolled = false;         ///< A try to register may have been carried out.
     std::optional<instant> m_confirmed;
     std::map<host_id, incarnation_number> m_confirmed_hosts;
     /// Of the mirror's hosts that `m_confirmed_hosts` was taken from; nothing after a listing.
--- a/proxy/store_sync_registration.cc
+++ b/proxy/store_sync_registration.cc
@@ -90,34 +90,21 @@
     }
 }
 
-/// Registers this process. A host that the fleet does not know costs two calls of the store.
+/// Registers this process, with its first lease in the same transaction.
 void store_sync::enroll() {
-    const bool is_first_try = !m_first_confirmed && !m_may_be_enrolled;
-    if (is_first_try && enroll_as_newcomer()) {
+    note_earlier_registration();
+    if (m_lease != platform::no_lease) {
+        register_host();
         return;
     }
-    note_earlier_registration();
-    register_host();
-}
-
-/// Succeeds only when the host was not registered before.
-bool store_sync::enroll_as_newcomer() {
     const auto granted = m_store.grant_lease(alive_ttl_ms, call_deadline());
     if (!granted) {
-        return false;
+        register_host();
+        return;
     }
-    m_may_be_enrolled = true;
-    platform::store_transaction transaction;
-    transaction.conditions.push_back({host_key(m_self), 0});
-    transaction.updates.push_back(
-        {host_key(m_self), encode_host_record(m_own_record), platform::no_lease});
-    transaction.updates.push_back({alive_key(m_self), "{}", *granted.value});
-    const auto result = m_store.commit(transaction, call_deadline());
-    if (result) {
+    if (register_host(platform::key_update{alive_key(m_self), "{}", *granted.value})) {
         m_lease = *granted.value;
-        note_registered(*result.value);
     }
-    return result.value.has_value();
 }
 
 /// Hosts that the store turned away learn of a new one only from their peers.
@@ -131,27 +118,26 @@
         m_was_registered || (earlier && earlier->incarnation != m_own_record.incarnation);
 }
 
-bool store_sync::register_host() {
+bool store_sync::register_host(const std::optional<platform::key_update>& also) {
     platform::store_transaction transaction;
     transaction.updates.push_back(
         {host_key(m_self), encode_host_record(m_own_record), platform::no_lease});
+    if (also) {
+        transaction.updates.push_back(*also);
+    }
     const auto result = m_store.commit(transaction, call_deadline());
     note_store(result.fault);
     if (result) {
-        note_registered(*result.value);
+        m_registered = true;
+        log_line{log_class::change, "host_registered"}
+            .with("incarnation", m_own_record.incarnation)
+            .with("unreachable_endpoints", m_own_record.unreachable.size())
+            .with("revision", *result.value)
+            .write();
     }
     return result.value.has_value();
 }
 
-void store_sync::note_registered(revision_number revision) {
-    m_registered = true;
-    log_line{log_class::change, "host_registered"}
-        .with("incarnation", m_own_record.incarnation)
-        .with("unreachable_endpoints", m_own_record.unreachable.size())
-        .with("revision", revision)
-        .write();
-}
-
 void store_sync::create_missing_records() {
     // One of the readers is enough, and each try is a call.
     if (!m_fleet.config.current() || !m_fleet.store_readers().empty()) {
