Test hosts that a full primary has refused

The stand-in of an endpoint can refuse connections over a limit. One test shows that a host without a connection passes writes on and reads from replicas by the marks of another host; its reads fail when marks are not asked for.

Found: a statement that already waits in the pool when the endpoint refuses the host's first connection waits for its whole timeout and is refused, although another host could run it.

--- a/support/session_endpoint.cc
+++ b/support/session_endpoint.cc
@@ -53,6 +53,14 @@
     }
 }
 
+void session_endpoint::reopen_with_limit(int limit) {
+    const std::lock_guard lock{m_fault_lock};
+    m_limit = limit;
+    for (connection& item : m_connections) {
+        ::shutdown(item.socket.native_handle(), SHUT_RDWR);
+    }
+}
+
 void session_endpoint::accept_all() {
     for (;;) {
         boost::system::error_code error;
@@ -64,8 +72,16 @@
             return;
         }
         ++m_accepted;
+        if (m_open >= m_limit) {
+            boost::asio::write(socket, boost::asio::buffer("ERROR MAXCONN full\r\n", 20), error);
+            continue;
+        }
+        ++m_open;
         connection& added = m_connections.emplace_back(std::move(socket));
-        added.thread = std::thread{[this, &added] { serve(added.socket); }};
+        added.thread = std::thread{[this, &added] {
+            serve(added.socket);
+            --m_open;
+        }};
     }
 }
 
--- a/support/session_endpoint.h
+++ b/support/session_endpoint.h
@@ -46,6 +46,8 @@
     /// Closes all connections and refuses new ones.
     void crash();
     [[nodiscard]] int connections() const { return m_accepted; }
+    /// Closes all connections; new ones are refused while `limit` are open.
+    void reopen_with_limit(int limit);
 
 private:
     struct session {
@@ -84,6 +86,8 @@
     std::list<connection> m_connections;
     std::atomic<bool> m_crashed = false;
     std::atomic<int> m_accepted = 0;
+    std::atomic<int> m_open = 0;
+    std::atomic<int> m_limit = 1000;
     std::thread m_thread;
 };
 
--- a/test/session_daemon_test.cc
+++ b/test/session_daemon_test.cc
@@ -173,3 +173,52 @@
     CHECK(pay.query("COMMIT").starts_with("ERROR ABORTED"));
     CHECK(all.runs("COMMIT") == 0);
 }
+
+namespace {
+
+constexpr std::size_t with_connections = 0;
+constexpr std::size_t without_connections = 1;
+
+/// Two hosts, of which only the first one has connections to the primary, which is at its limit.
+struct full_primary {
+    full_primary() {
+        // The hosts learn of each other.
+        std::this_thread::sleep_for(std::chrono::milliseconds{1500});
+        all.endpoint(0).reopen_with_limit(2);
+        for (int i = 0; i < 20; ++i) {
+            first.query("READ warm");
+        }
+    }
+
+    fleet all{2};
+    caller first{all.port(with_connections), "pay"};
+};
+
+}  // namespace
+
+// Guards against reads that need the primary only because this host has no connection there, and
+// against writes that wait for one: after a restart of all hosts, connections of their earlier
+// processes fill the primary's limit.
+TEST_CASE("a host that a full primary has refused uses marks and connections of another") {
+    full_primary f;
+    // The host learns that the primary is full.
+    caller{f.all.port(without_connections), "pay"}.query("READ warm");
+    caller pay{f.all.port(without_connections), "pay"};
+    CHECK(pay.query("WRITE m1 v1") == "DONE signed-by-i-a|READY I -|");
+    CHECK(pay.query("READ m1") == "ROW v1|DONE signed-by-i-a|READY I -|");
+    // The host's own marks are older than the route's bound by now.
+    std::this_thread::sleep_for(std::chrono::milliseconds{1700});
+    caller view{f.all.port(without_connections), "view"};
+    for (int i = 0; i < 5; ++i) {
+        CHECK_THAT(f.first.query("READ warm"), Catch::StartsWith("ROW"));
+        CHECK_THAT(view.query("READ m1"), Catch::StartsWith("ROW v1|DONE signed-by-"));
+    }
+}
+
+// Guards against a write that waits for its whole timeout although another host could run it.
+TEST_CASE("a write that waits when a full primary refuses is passed to another host",
+          "[known-red]") {
+    full_primary f;
+    caller pay{f.all.port(without_connections), "pay"};
+    CHECK(pay.query("WRITE m2 v2") == "DONE signed-by-i-a|READY I -|");
+}
