Count only hosts that can use a primary against its replacement

Cause: in a partition in which four of seven hosts lose the store together with a primary, the three others did not replace it until the registrations of the four were removed, 6 s later, although the four could not confirm a lease in the meantime. Requests of that group failed for the whole 7 s and overloaded the old primary for 5 s after it.

Change: count_hosts() leaves out a host that neither holds its lease in the store nor has sent requests to the deciding host. Ruled out: counting hosts by their store lease alone, because hosts that the store refuses still confirm their leases through peers. The wait for the leases is unchanged, so a host that is counted out wrongly cannot acknowledge a write of the old primary. A majority of lease granters would have kept the old primary, whose replicas are cut off: two slots for all reads.

--- a/include/jasminelead/primary_replacement.h
+++ b/include/jasminelead/primary_replacement.h
@@ -10,11 +10,20 @@
 /// Decides when a primary is replaced and by which replica.
 namespace jasminelead {
 
+/// What the host that decides knows about one registered host.
+struct host_view {
+    bool holds_lease = false;     ///< Reaches the store: it renews its lease there.
+    bool is_heard = false;        ///< Has sent requests to the deciding host recently.
+    bool is_voting = false;       ///< Its view of the endpoints is up to date.
+    bool is_gateway = false;      ///< Connects to the group's endpoints directly.
+    bool reaches_primary = true;  ///< Does not report the primary as unreachable.
+};
+
 /// Reachability of a group's primary as seen by the fleet. Hosts are daemons.
 struct primary_health {
-    std::size_t registered = 0;
-    std::size_t hosts = 0;     ///< Registered hosts with an up-to-date view.
-    std::size_t gateways = 0;  ///< Hosts that connect to the group's endpoints directly.
+    std::size_t present = 0;   ///< Hosts that may be able to use the primary.
+    std::size_t hosts = 0;     ///< Hosts with an up-to-date view.
+    std::size_t gateways = 0;  ///< Present hosts that connect to the group's endpoints directly.
     std::size_t voters = 0;    ///< Gateways with an up-to-date view.
     std::size_t voters_without_primary = 0;  ///< Voters that cannot connect to the primary.
     bool is_listed = true;
@@ -28,6 +37,9 @@
     urgent,   ///< Most hosts have lost the primary.
 };
 
+/// Counts the hosts; the properties of the primary itself keep their defaults.
+primary_health count_hosts(std::span<const host_view> hosts);
+
 replacement decide_replacement(const primary_health& health);
 
 struct successor_candidate {
--- a/proxy/failover_agent.cc
+++ b/proxy/failover_agent.cc
@@ -143,14 +143,17 @@
 
 std::size_t failover_agent::hosts_without(const group_id& group,
                                           const endpoint_id& endpoint) const {
-    const auto& hosts = m_sync.records().hosts();
     const auto voting_hosts = voters(group);
     return static_cast<std::size_t>(
-        std::count_if(voting_hosts.begin(), voting_hosts.end(), [&](const host_id& host) {
-            const auto* const reported = m_peers.endpoints_unreachable_from(host);
-            const auto& unreachable = reported != nullptr ? *reported : hosts.at(host).unreachable;
-            return unreachable.contains(endpoint);
-        }));
+        std::count_if(voting_hosts.begin(), voting_hosts.end(),
+                      [&](const host_id& host) { return reports_unreachable(host, endpoint); }));
+}
+
+bool failover_agent::reports_unreachable(const host_id& host, const endpoint_id& endpoint) const {
+    const auto* const reported = m_peers.endpoints_unreachable_from(host);
+    const auto& unreachable =
+        reported != nullptr ? *reported : m_sync.records().hosts().at(host).unreachable;
+    return unreachable.contains(endpoint);
 }
 
 /// True when the process that wrote the record has ended and can send no further promotion.
@@ -160,14 +163,28 @@
     return found != hosts.end() && found->second.incarnation != record.changed_by_incarnation;
 }
 
+std::vector<host_view> failover_agent::host_views(const group_id& group,
+                                                  const endpoint_id& primary) const {
+    const host_liveness& liveness = m_sync.records().liveness();
+    const std::vector<host_id>& gateways = m_fleet.gateways(group);
+    const std::set<host_id> connected{gateways.begin(), gateways.end()};
+    const instant now = boot_now();
+    std::vector<host_view> views;
+    for (const auto& [host, record] : m_sync.records().hosts()) {
+        host_view view;
+        view.holds_lease = liveness.is_live(host, now);
+        view.is_heard = m_peers.endpoints_unreachable_from(host) != nullptr;
+        view.is_voting = liveness.is_voting(host, now);
+        view.is_gateway = connected.contains(host);
+        view.reaches_primary = !reports_unreachable(host, primary);
+        views.push_back(view);
+    }
+    return views;
+}
+
 primary_health failover_agent::assess_primary(const group_id& group,
                                               const endpoint_id& primary) const {
-    primary_health health;
-    health.registered = m_sync.records().hosts().size();
-    health.hosts = m_sync.records().liveness().voting_count(boot_now());
-    health.gateways = m_fleet.gateways(group).size();
-    health.voters = voters(group).size();
-    health.voters_without_primary = hosts_without(group, primary);
+    primary_health health = count_hosts(host_views(group, primary));
     const auto pool = m_fleet.pool(primary);
     // When no endpoint of the group is listed, the listing has not been received yet.
     health.is_listed = pool != nullptr || m_fleet.pools(group).empty();
--- a/proxy/failover_agent.h
+++ b/proxy/failover_agent.h
@@ -48,6 +48,8 @@
     [[nodiscard]] bool needs_check(const group_id& group, const group_record& record,
                                    const std::set<endpoint_id>& reported) const;
     void check_group(const group_id& group, const group_record& record);
+    std::vector<host_view> host_views(const group_id& group, const endpoint_id& primary) const;
+    [[nodiscard]] bool reports_unreachable(const host_id& host, const endpoint_id& endpoint) const;
     primary_health assess_primary(const group_id& group, const endpoint_id& primary) const;
     [[nodiscard]] bool has_restarted(const group_record& record) const;
     /// Gateways of the group whose reachability reports count. Only gateways connect to its
--- a/src/primary_replacement.cc
+++ b/src/primary_replacement.cc
@@ -1,16 +1,37 @@
 #include "jasminelead/primary_replacement.h"
 
+#include <algorithm>
 #include <tuple>
 
 #include "jasminelead/fleet_quorum.h"
 
 namespace jasminelead {
 
+/// Load pattern: a partition in which most hosts lose the store together with a primary. They cannot
+/// confirm their leases, unless they ask every registered host, which would then hear from them. A
+/// host that neither holds its lease nor is heard thus cannot use the primary, and does not count.
+primary_health count_hosts(std::span<const host_view> hosts) {
+    const auto count = [&hosts](auto condition) {
+        return static_cast<std::size_t>(std::count_if(hosts.begin(), hosts.end(), condition));
+    };
+    const auto is_present = [](const host_view& host) { return host.holds_lease || host.is_heard; };
+    const auto is_voter = [](const host_view& host) { return host.is_voting && host.is_gateway; };
+    primary_health health;
+    health.present = count(is_present);
+    health.hosts = count([](const host_view& host) { return host.is_voting; });
+    health.gateways =
+        count([&](const host_view& host) { return host.is_gateway && is_present(host); });
+    health.voters = count(is_voter);
+    health.voters_without_primary =
+        count([&](const host_view& host) { return is_voter(host) && !host.reaches_primary; });
+    return health;
+}
+
 /// Replacement requires a majority: a partitioned minority must not replace a primary that the
 /// majority still reaches, and two halves must not keep replacing each other's primary.
 replacement decide_replacement(const primary_health& health) {
     // A host that has the views of only a few others is more likely to be partitioned itself.
-    if (health.hosts * 2 < health.registered || health.voters * 2 < health.gateways) {
+    if (health.hosts * 2 < health.present || health.voters * 2 < health.gateways) {
         return replacement::none;
     }
     if (!health.is_listed || health.reports_replica_role ||
--- a/test/primary_replacement_test.cc
+++ b/test/primary_replacement_test.cc
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <catch2/catch.hpp>
+#include <vector>
 
 using namespace jasminelead;
 
@@ -9,7 +10,7 @@
 
 primary_health healthy() {
     primary_health health;
-    health.registered = 6;
+    health.present = 6;
     health.hosts = 6;
     health.gateways = 6;
     health.voters = 6;
@@ -50,7 +51,7 @@
 // it, because most hosts of the fleet do not connect to it.
 TEST_CASE("only hosts that connect to a group vote on its primary") {
     primary_health health = healthy();
-    health.registered = 69;
+    health.present = 69;
     health.hosts = 69;
     health.gateways = 9;
     health.voters = 9;
@@ -61,6 +62,30 @@
     CHECK(decide_replacement(health) == replacement::none);
 }
 
+// Guards against an outage for the whole length of a partition: four of seven hosts are on the side
+// of the primary without the store, where no lease can be confirmed, and the three others reach the
+// store and both replicas.
+TEST_CASE("hosts that lost the store and are not heard do not keep a primary") {
+    const host_view cut_off{false, false, false, true, true};
+    const host_view with_store{true, false, true, true, false};
+    std::vector<host_view> hosts{cut_off,    cut_off,    cut_off,   cut_off,
+                                 with_store, with_store, with_store};
+    CHECK(decide_replacement(count_hosts(hosts)) == replacement::urgent);
+
+    SECTION("unless they still hold their leases in the store") {
+        for (host_view& host : hosts) {
+            host.holds_lease = true;
+        }
+        CHECK(decide_replacement(count_hosts(hosts)) == replacement::none);
+    }
+    SECTION("unless they ask the others for confirmations") {
+        for (host_view& host : hosts) {
+            host.is_heard = true;
+        }
+        CHECK(decide_replacement(count_hosts(hosts)) == replacement::none);
+    }
+}
+
 TEST_CASE("a primary that is unregistered or has stepped down is replaced") {
     primary_health health = healthy();
     health.is_listed = false;
