Shorten the leases on primaries to 900 ms

Cause: a replacement waits one lease length for hosts that do not acknowledge it, 1.5 s of the 3 s for which a primary behind a cut is unserved.

Change: leases of 900 ms, still longer than the 600 ms between two confirmations. Host records state the length, and a replacement waits for the longest one of all known hosts, so that builds with different lengths may run side by side; a record without it means 1,500 ms. The time after which the store counts as regained no longer depends on the length: with 600 ms every confirmation ended an outage, and no host replaced a primary at all. A list of unreachable endpoints with values of another type no longer yields an endpoint with an empty id.

--- a/proxy/failover_agent.cc
+++ b/proxy/failover_agent.cc
@@ -413,7 +413,6 @@
 /// their leases have expired.
 void failover_agent::wait_until_primary_unused(replacement_run& current) {
     primary_stop_progress progress;
-    progress.lease_length = m_fleet.lease.length() + clock_margin;
     do {
         m_fleet.changed.wait(to_steady(boot_now() + unused_poll_interval));
         if (!current.has_all_hosts) {
@@ -426,6 +425,7 @@
             current.hosts.begin(), current.hosts.end(),
             [&](const auto& host) { return has_stopped_using_primary(current, host.first); }));
         progress.since_change_recorded = boot_now() - current.mark_confirmed_at;
+        progress.lease_length = m_sync.records().longest_lease() + clock_margin;
     } while (!is_primary_unused(progress));
     const bool all_acknowledged = progress.stopped == progress.registered;
     log_step(current, "wait_until_unused", all_acknowledged ? "acknowledged" : "lease_ended");
--- a/proxy/fleet_state.cc
+++ b/proxy/fleet_state.cc
@@ -13,7 +13,7 @@
 
 // Long enough for one lost answer of the store and one round of peer requests. An unreachable
 // daemon delays a failover by this time.
-constexpr duration primary_lease_length = 1500_ms;
+constexpr duration primary_lease_length = 900_ms;
 // A leaving primary serves until it is replaced. The limit stops its use before its process ends.
 constexpr duration max_leaving_use = 5_s;
 
--- a/proxy/own_records.cc
+++ b/proxy/own_records.cc
@@ -111,7 +111,8 @@
                                         {"peer", record.peer_address},
                                         {"data_centre", record.data_centre.str()},
                                         {"cpu_milli", cpu_milli(record.cpu_share)},
-                                        {"unreachable", std::move(unreachable)}});
+                                        {"unreachable", std::move(unreachable)},
+                                        {"lease_us", record.lease_length.us()}});
 }
 
 std::optional<host_record> decode_host_record(std::string_view text) {
@@ -134,9 +135,12 @@
     const json::value* const unreachable = object->if_contains("unreachable");
     if (unreachable != nullptr && unreachable->is_array()) {
         for (const json::value& endpoint : unreachable->get_array()) {
-            record.unreachable.emplace(endpoint.is_string() ? endpoint.get_string().c_str() : "");
+            if (endpoint.is_string()) {
+                record.unreachable.emplace(endpoint.get_string().c_str());
+            }
         }
     }
+    record.lease_length = duration_of(*object, "lease_us").value_or(unstated_lease_length);
     return record;
 }
 
--- a/proxy/own_records.h
+++ b/proxy/own_records.h
@@ -23,6 +23,9 @@
 /// text.
 std::optional<group_record> decode_group_record(std::string_view text);
 
+/// Lease length of a host whose record does not state one: builds before the field had this length.
+inline constexpr duration unstated_lease_length = duration::from_ms(1500);
+
 /// Registration of a daemon that may hold a lease on primaries. A daemon that replaces a primary
 /// waits until each registered host has stopped using it.
 struct host_record {
@@ -32,6 +35,8 @@
     data_centre_id data_centre;
     double cpu_share = 1;
     std::set<endpoint_id> unreachable;  ///< Endpoints that the host cannot reach.
+    /// For how long the host may use a primary after a confirmation.
+    duration lease_length = unstated_lease_length;
     bool operator==(const host_record&) const = default;
 };
 std::string host_key(const host_id& host);
--- a/proxy/record_mirror.cc
+++ b/proxy/record_mirror.cc
@@ -176,6 +176,15 @@
         [this, now](const auto& item) { return m_liveness.is_live(item.first, now); }));
 }
 
+/// During a rolling upgrade, hosts of another build may have longer leases than this one.
+duration record_mirror::longest_lease() const {
+    duration longest = m_fleet.lease.length();
+    for (const auto& [host, record] : m_hosts) {
+        longest = std::max(longest, record.lease_length);
+    }
+    return longest;
+}
+
 /// During a store outage the leases of all hosts may expire at once. All known hosts count when
 /// fewer than half of them have a lease.
 std::vector<host_placement> record_mirror::places(instant now) const {
@@ -248,7 +257,7 @@
 }
 
 void record_mirror::remove_expired_hosts(instant now) {
-    for (const host_id& host : m_liveness.take_removed(m_fleet.lease.length(), now)) {
+    for (const host_id& host : m_liveness.take_removed(longest_lease(), now)) {
         m_hosts.erase(host);
         ++m_hosts_version;
     }
--- a/proxy/record_mirror.h
+++ b/proxy/record_mirror.h
@@ -49,6 +49,8 @@
     /// Incremented on each change of `hosts` or their registrations.
     [[nodiscard]] std::uint64_t hosts_version() const { return m_hosts_version; }
     [[nodiscard]] std::size_t live_count(instant now) const;
+    /// Longest time for which a known host may use a primary after a confirmation.
+    [[nodiscard]] duration longest_lease() const;
     /// Hosts that can serve as gateways or readers.
     [[nodiscard]] std::vector<host_placement> places(instant now) const;
     /// Endpoints that at least one host's record lists as unreachable.
--- a/proxy/store_sync.cc
+++ b/proxy/store_sync.cc
@@ -19,6 +19,8 @@
 constexpr duration confirm_timeout = 400_ms;
 // A watch that lags behind the store's revision for this long triggers a reload.
 constexpr duration watch_lag_timeout = 300_ms;
+// Older than a confirmation is after a single lost answer of the store.
+constexpr duration outage_age = 1500_ms;
 // A host that had lost the store has current reachability reports again after this time.
 constexpr duration catch_up_time = 1_s;
 // A reader normally answers several times within this time.
@@ -32,9 +34,10 @@
       m_mirror{mirror},
       m_counters{counters},
       m_self{options.host},
-      m_own_record{options.host,      daemon::wall_clock_incarnation(),
-                   options.peer,      options.data_centre,
-                   options.cpu_share, {}},
+      m_own_record{options.host,        daemon::wall_clock_incarnation(),
+                   options.peer,        options.data_centre,
+                   options.cpu_share,   {},
+                   fleet.lease.length()},
       m_store{fleet.home().io(), options.store, counters} {}
 
 void store_sync::start() {
@@ -135,7 +138,7 @@
 }
 
 void store_sync::on_confirmed(instant sent) {
-    if (confirmed_age(sent) > m_fleet.lease.length()) {
+    if (confirmed_age(sent) > outage_age) {
         m_store_answering_since = boot_now();
     }
     m_confirmed_at = std::max(m_confirmed_at.value_or(sent), sent);
@@ -204,7 +207,7 @@
         return false;
     }
     const bool is_steady = *m_store_answering_since + catch_up_time <= now;
-    const duration wait = m_was_registered ? m_fleet.lease.length() : new_host_replacement_delay;
+    const duration wait = m_was_registered ? m_mirror.longest_lease() : new_host_replacement_delay;
     return is_steady && *m_first_confirmed_at + wait <= now;
 }
 
--- a/test/own_records_test.cc
+++ b/test/own_records_test.cc
@@ -18,11 +18,27 @@
     group.term = 4;
     group.taken_over_at = {3, 120};
     CHECK(decode_group_record(encode_group_record(group)) == group);
-    const host_record host{host_id{"h1"},        17,   "127.0.0.1:7400",
-                           data_centre_id{"dc"}, 0.25, {endpoint_id{"a"}}};
+    const host_record host{host_id{"h1"},      17,    "127.0.0.1:7400", data_centre_id{"dc"}, 0.25,
+                           {endpoint_id{"a"}}, 900_ms};
     CHECK(decode_host_record(encode_host_record(host)) == host);
 }
 
+// Guards against a rolling upgrade in which a host of a new build, with shorter leases, promotes
+// while a host of an old build still relies on its longer one.
+TEST_CASE("a host record without a lease length states that of the earlier builds") {
+    const auto record = decode_host_record(R"({"host":"h1","incarnation":17,"peer":"a:1"})");
+    REQUIRE(record);
+    CHECK(record->lease_length == unstated_lease_length);
+}
+
+// Guards against an endpoint with an empty id that counts as unreachable.
+TEST_CASE("values of other types in a list of unreachable endpoints are ignored") {
+    const auto record = decode_host_record(
+        R"({"host":"h1","incarnation":17,"peer":"a:1","unreachable":[7,"a",null]})");
+    REQUIRE(record);
+    CHECK(record->unreachable == std::set{endpoint_id{"a"}});
+}
+
 TEST_CASE("group and host ids are decoded from keys") {
     CHECK(group_of_key(group_key(group_id{"shows"})) == group_id{"shows"});
     CHECK(host_of_key(host_key(host_id{"h1"})) == host_id{"h1"});
--- a/test/record_mirror_test.cc
+++ b/test/record_mirror_test.cc
@@ -81,7 +81,8 @@
     CHECK_FALSE(f.lists("a"));
     f.mirror.apply(
         {"jasminelead/fleet/host/h9", 95,
-         encode_host_record({host_id{"h9"}, 1, "127.0.0.1:1", data_centre_id{"dc"}, 0.25, {}})});
+         encode_host_record(
+             {host_id{"h9"}, 1, "127.0.0.1:1", data_centre_id{"dc"}, 0.25, {}, 900_ms})});
     CHECK(f.mirror.hosts().empty());
     f.mirror.apply({"servers/a", 130, endpoint_value()});
     CHECK(f.lists("a"));
@@ -105,6 +106,16 @@
     CHECK(changes.size() <= 1100);
 }
 
+// Guards against a rolling upgrade in which a host with shorter leases promotes while a host of an
+// earlier build still uses the old primary.
+TEST_CASE("the longest lease of all known hosts counts") {
+    mirror_fixture f;
+    CHECK(f.mirror.longest_lease() == f.fleet.lease.length());
+    f.mirror.apply(
+        {"jasminelead/fleet/host/h2", 5, R"({"host":"h2","incarnation":1,"peer":"127.0.0.1:1"})"});
+    CHECK(f.mirror.longest_lease() == unstated_lease_length);
+}
+
 // Guards against records with non-ASCII bytes that followers never receive.
 TEST_CASE("a value with arbitrary bytes is forwarded unchanged") {
     std::string bytes;
