Limit each host to its share of an endpoint's connections

Cause: a host could open all connections that an endpoint allows, and the share trimmed only idle ones.

Change: a host opens at most its share, or two connections if that is more.

--- a/include/jasminelead/connection_share.h
+++ b/include/jasminelead/connection_share.h
@@ -7,8 +7,8 @@
 /// Share of one daemon in the connection limit of an endpoint.
 ///
 /// Load pattern: daemons with uneven load use the same endpoint, or all daemons open connections at
-/// once after a restart. Each daemon may use free connections, but keeps at most its share idle, so
-/// that a daemon that starts later is not locked out.
+/// once after a restart, while the endpoint still keeps those of their earlier processes. No daemon
+/// takes more than its share, or two connections, so that one that starts later is not locked out.
 namespace jasminelead {
 
 class connection_share {
--- a/src/connection_share.cc
+++ b/src/connection_share.cc
@@ -14,6 +14,8 @@
 // An endpoint keeps the connections of hosts that lost power for seconds. Half of the limit is left
 // for the processes that replace them.
 constexpr std::uint32_t share_divisor = 2;
+// With a second connection, statements run while a transaction holds the first one.
+constexpr std::uint32_t min_allowed = 2;
 
 }  // namespace
 
@@ -29,7 +31,8 @@
 }
 
 std::uint32_t connection_share::allowed(instant now) const {
-    return now < m_retry_at ? std::min(m_open_at_refusal, m_max_connections) : m_max_connections;
+    const std::uint32_t most = std::min(std::max(m_share, min_allowed), m_max_connections);
+    return now < m_retry_at ? std::min(m_open_at_refusal, most) : most;
 }
 
 }  // namespace jasminelead
