Pass a statement on when a full primary refuses the host's only connection

Cause: a statement that waited in the pool when the endpoint refused the first connection of its host waited there until its timeout, although another host could run it.

Change: waiting statements are refused when the last connection attempt fails on the limit; the dispatcher passes them to another host as it does later ones. Statements that were passed on still wait.

--- a/proxy/endpoint_pool.cc
+++ b/proxy/endpoint_pool.cc
@@ -191,6 +191,10 @@
             .with("waiting", std::uint64_t{m_queue.size()})
             .write();
         m_share.on_refused(m_connections.size(), now);
+        if (m_connections.size() == 0) {
+            // Another endpoint or another host may serve them sooner.
+            refuse_unbound_waiters(why);
+        }
         schedule_retry(m_share.retry_at());
         return;
     }
--- a/proxy/statement_dispatcher.cc
+++ b/proxy/statement_dispatcher.cc
@@ -39,6 +39,13 @@
            !(needs_primary && m_router.is_primary_unavailable_here(route.group));
 }
 
+/// The statement has not run, and the primary became unavailable to this host while it waited.
+bool statement_dispatcher::should_pass_on(const statement_outcome& outcome,
+                                          const database_route& route, bool needs_primary) {
+    return outcome.fault == statement_fault::busy && needs_primary &&
+           !runs_locally(route, needs_primary);
+}
+
 gateway_request statement_dispatcher::make_request(gateway_action action,
                                                    const session_data& session,
                                                    const database_route& route,
@@ -127,7 +134,10 @@
     const bool writes = statement.kind == access::write;
     const bool needs_primary = writes || route.policy == read_policy::primary;
     if (runs_locally(route, needs_primary)) {
-        return m_router.run(session, route, statement);
+        auto outcome = m_router.run(session, route, statement, when_full::refuse);
+        if (!should_pass_on(outcome, route, needs_primary)) {
+            return outcome;
+        }
     }
     auto request = make_request(gateway_action::run, session, route, statement);
     auto result = relay(request, session);
@@ -150,14 +160,17 @@
                                                              bool read_only) {
     const bool needs_primary = !read_only || route.policy == read_policy::primary;
     if (runs_locally(route, needs_primary)) {
-        return begin_locally(session, route, first, read_only);
+        auto begun = begin_locally(session, route, first, read_only, when_full::refuse);
+        if (begun.transaction || !should_pass_on(begun.outcome, route, needs_primary)) {
+            return begun;
+        }
     }
     auto request = make_request(gateway_action::begin, session, route, first);
     request.read_only = read_only;
     auto result = relay(request, session);
     if (std::holds_alternative<gateway_fault>(result)) {
         // A transaction that a lost gateway has begun is rolled back there as abandoned.
-        return begin_locally(session, route, first, read_only);
+        return begin_locally(session, route, first, read_only, when_full::wait);
     }
     auto& relayed = std::get<relayed_answer>(result);
     first_step begun{std::move(relayed.answer.outcome), std::nullopt};
@@ -170,8 +183,8 @@
 
 statement_dispatcher::first_step statement_dispatcher::begin_locally(
     session_data& session, const database_route& route, const forwarded_statement& first,
-    bool read_only) {
-    auto opened = m_router.begin(session, route, first, read_only);
+    bool read_only, when_full choice) {
+    auto opened = m_router.begin(session, route, first, read_only, choice);
     if (auto* const refusal = std::get_if<statement_outcome>(&opened)) {
         return {std::move(*refusal), std::nullopt};
     }
--- a/proxy/statement_dispatcher.h
+++ b/proxy/statement_dispatcher.h
@@ -59,12 +59,14 @@
     using relay_result = std::variant<relayed_answer, gateway_fault>;
 
     [[nodiscard]] bool runs_locally(const database_route& route, bool needs_primary);
+    bool should_pass_on(const statement_outcome& outcome, const database_route& route,
+                        bool needs_primary);
     relay_result relay(gateway_request& request, session_data& session);
     gateway_request make_request(gateway_action action, const session_data& session,
                                  const database_route& route,
                                  const forwarded_statement& statement) const;
     first_step begin_locally(session_data& session, const database_route& route,
-                             const forwarded_statement& first, bool read_only);
+                             const forwarded_statement& first, bool read_only, when_full choice);
     statement_outcome commit_empty_locally(session_data& session, const database_route& route,
                                            const forwarded_statement& commit, bool read_only);
     statement_outcome report_gateway_lost(const forwarded_statement& statement,
--- a/proxy/statement_router.cc
+++ b/proxy/statement_router.cc
@@ -32,11 +32,11 @@
     : m_fleet{fleet}, m_marks{marks}, m_counters{counters}, m_outages{fleet.lease.length()} {}
 
 statement_outcome statement_router::run(session_data& session, const database_route& route,
-                                        const forwarded_statement& statement) {
+                                        const forwarded_statement& statement, when_full choice) {
     const bool may_use_replica =
         statement.kind == access::read && route.policy != read_policy::primary;
     return may_use_replica ? run_read(session, route, statement)
-                           : run_on_primary(session, route, statement);
+                           : run_on_primary(session, route, statement, choice);
 }
 
 std::shared_ptr<endpoint_pool> statement_router::choose_read_pool(statement_attempt& current) {
@@ -286,6 +286,10 @@
             if (*why == reason::overloaded || *why == reason::deadline) {
                 return refuse(current, to_string(*why), "the primary is at its limit; not run");
             }
+            if (*why == reason::connection_limit && current.may_pass_on) {
+                return refuse(current, to_string(*why),
+                              "this host has no connection to the primary; not run");
+            }
             m_counters.count("retries", to_string(*why));
             boost::this_fiber::sleep_until(to_steady(boot_now() + retry_pause));
             continue;
@@ -338,8 +342,10 @@
 
 statement_outcome statement_router::run_on_primary(session_data& session,
                                                    const database_route& route,
-                                                   const forwarded_statement& statement) {
+                                                   const forwarded_statement& statement,
+                                                   when_full choice) {
     statement_attempt current{route, statement};
+    current.may_pass_on = choice == when_full::refuse;
     const bool writes = statement.kind == access::write;
     for (;;) {
         auto acquired = acquire_primary(current, writes);
--- a/proxy/statement_router.h
+++ b/proxy/statement_router.h
@@ -27,6 +27,12 @@
     bool wrote = false;
 };
 
+/// What a statement does that needs a primary with no connection left for this host.
+enum class when_full {
+    wait,    ///< Waits for a connection.
+    refuse,  ///< Is refused as not run, so that another host can run it.
+};
+
 class statement_router {
 public:
     statement_router(fleet_state& fleet, mark_exchange& marks, daemon::metrics& counters);
@@ -41,13 +47,14 @@
 
     /// Runs one statement outside a transaction.
     statement_outcome run(session_data& session, const database_route& route,
-                          const forwarded_statement& statement);
+                          const forwarded_statement& statement, when_full choice = when_full::wait);
     /// Begins a transaction on an endpoint that can run its statements: the primary, or for
     /// read-only transactions any endpoint that is fresh enough.
     std::variant<open_transaction, statement_outcome> begin(session_data& session,
                                                             const database_route& route,
                                                             const forwarded_statement& first,
-                                                            bool read_only);
+                                                            bool read_only,
+                                                            when_full choice = when_full::wait);
     /// Result of one statement of a transaction. When `still_open` is false, the transaction has
     /// been rolled back.
     struct step_outcome {
@@ -88,7 +95,7 @@
                                               const acquired_endpoint& used);
 
     statement_outcome run_on_primary(session_data& session, const database_route& route,
-                                     const forwarded_statement& statement);
+                                     const forwarded_statement& statement, when_full choice);
     std::variant<acquired_primary, statement_outcome> acquire_primary(statement_attempt& current,
                                                                       bool needs_live_link);
     bool wait_for_valid_lease(const group_id& group, const primary_permit& permit, instant give_up);
--- a/proxy/statement_router_transactions.cc
+++ b/proxy/statement_router_transactions.cc
@@ -29,8 +29,9 @@
 
 std::variant<open_transaction, statement_outcome> statement_router::begin(
     session_data& session, const database_route& route, const forwarded_statement& first,
-    bool read_only) {
+    bool read_only, when_full choice) {
     statement_attempt current{route, first};
+    current.may_pass_on = choice == when_full::refuse;
     const bool may_use_replica = read_only && route.policy != read_policy::primary;
     forwarded_statement begin_query;
     begin_query.id = platform::internal_statement_id();
--- a/test/session_daemon_test.cc
+++ b/test/session_daemon_test.cc
@@ -220,8 +220,7 @@
 }
 
 // Guards against a write that waits until its timeout although another host could run it.
-TEST_CASE("a write that waits when a full primary refuses is passed to another host",
-          "[known-red]") {
+TEST_CASE("a write that waits when a full primary refuses is passed to another host") {
     full_primary f;
     caller pay{f.all.port(without_connections), "pay"};
     CHECK(pay.query("WRITE m2 v2") == "DONE signed-by-i-a|READY I -|");
