End a transaction that its host gave up on with its running statement

Cause: a request for a transaction with a statement in progress was answered as rolled back although the transaction stayed open. An exception in a statement left the transaction busy for ever, with its connection.

Change: such a request marks the transaction, which is rolled back when the statement ends. The busy flag is cleared in all cases, so that abandoned transactions are rolled back.

--- a/proxy/gateway_server.cc
+++ b/proxy/gateway_server.cc
@@ -33,6 +33,20 @@
     std::uint32_t& m_count;
 };
 
+/// Marks a transaction as busy for the lifetime of the object, also when an exception ends it.
+class busy_scope {
+public:
+    explicit busy_scope(bool& is_busy) : m_is_busy{is_busy} { m_is_busy = true; }
+    ~busy_scope() { m_is_busy = false; }
+    busy_scope(const busy_scope&) = delete;
+    busy_scope& operator=(const busy_scope&) = delete;
+    busy_scope(busy_scope&&) = delete;
+    busy_scope& operator=(busy_scope&&) = delete;
+
+private:
+    bool& m_is_busy;
+};
+
 }  // namespace
 
 gateway_server::gateway_server(fleet_state& fleet, statement_router& router,
@@ -132,11 +146,19 @@
 gateway_answer gateway_server::continue_transaction(gateway_request& request) {
     gateway_answer result;
     const auto found = m_transactions.find(request.transaction);
-    if (found == m_transactions.end() || found->second->is_busy) {
+    if (found == m_transactions.end()) {
         m_counters.count("gateway_requests", "transaction_unknown");
         result.outcome = make_fault(statement_fault::aborted, "the transaction was rolled back");
         return result;
     }
+    if (found->second->is_busy) {
+        // The requesting host has given up on the statement in progress. The answer is true because
+        // the transaction ends with that statement.
+        found->second->must_roll_back = true;
+        m_counters.count("gateway_requests", "transaction_busy");
+        result.outcome = make_fault(statement_fault::aborted, "the transaction is rolled back");
+        return result;
+    }
     if (request.action == gateway_action::roll_back) {
         roll_back_and_remove(found);
         return result;
@@ -154,19 +176,28 @@
 
 gateway_answer gateway_server::step(gateway_request& request,
                                     const std::shared_ptr<held_transaction>& held) {
-    held->is_busy = true;
-    const auto next = m_router.step(held->open, request.session, request.route, request.statement);
-    held->is_busy = false;
+    const auto next = run_step(request, *held);
     held->used = boot_now();
     gateway_answer result;
     result.outcome = next.outcome;
     result.still_open = next.still_open;
     if (!next.still_open) {
         m_transactions.erase(request.transaction);
+    } else if (held->must_roll_back) {
+        m_counters.count("aborted_transactions", "given_up");
+        result.still_open = false;
+        result.outcome = make_fault(statement_fault::aborted, "the transaction was rolled back");
+        roll_back_and_remove(m_transactions.find(request.transaction));
     }
     return result;
 }
 
+statement_router::step_outcome gateway_server::run_step(gateway_request& request,
+                                                        held_transaction& held) {
+    const busy_scope busy{held.is_busy};
+    return m_router.step(held.open, request.session, request.route, request.statement);
+}
+
 void gateway_server::roll_back_and_remove(const transaction_map::iterator& at) {
     const auto held = at->second;
     m_transactions.erase(at);
--- a/proxy/gateway_server.h
+++ b/proxy/gateway_server.h
@@ -37,6 +37,7 @@
         open_transaction open;
         instant used;
         bool is_busy = false;
+        bool must_roll_back = false;  ///< When its statement in progress ends.
     };
     using transaction_map = std::map<std::string, std::shared_ptr<held_transaction>, std::less<>>;
 
@@ -44,6 +45,7 @@
     gateway_answer begin(gateway_request& request);
     gateway_answer continue_transaction(gateway_request& request);
     gateway_answer step(gateway_request& request, const std::shared_ptr<held_transaction>& held);
+    statement_router::step_outcome run_step(gateway_request& request, held_transaction& held);
     bool declines(const gateway_request& request) const;
     std::string store_transaction(open_transaction&& opened);
     void roll_back_abandoned();
--- a/support/session_endpoint.cc
+++ b/support/session_endpoint.cc
@@ -44,6 +44,21 @@
     m_refused_code = std::move(code);
 }
 
+void session_endpoint::delay_next(std::string verb, std::chrono::milliseconds delay) {
+    const std::lock_guard lock{m_fault_lock};
+    m_delayed_verb = std::move(verb);
+    m_delay = delay;
+}
+
+std::chrono::milliseconds session_endpoint::take_delay(const std::string& verb) {
+    const std::lock_guard lock{m_fault_lock};
+    if (verb != m_delayed_verb) {
+        return {};
+    }
+    m_delayed_verb.clear();
+    return m_delay;
+}
+
 void session_endpoint::crash() {
     const std::lock_guard lock{m_fault_lock};
     m_crashed = true;
@@ -159,6 +174,7 @@
             return error_response(client_session, m_refused_code);
         }
     }
+    std::this_thread::sleep_for(take_delay(verb));
     const std::lock_guard lock{m_group->lock};
     m_group->log.push_back(m_id + " " + id + " " + text);
     std::string name;
--- a/support/session_endpoint.h
+++ b/support/session_endpoint.h
@@ -3,6 +3,7 @@
 #include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <list>
@@ -43,6 +44,8 @@
     void drop_next_response(std::string verb);
     /// Rejects the next statement with this verb, without running it.
     void refuse_next(std::string verb, std::string code);
+    /// Waits before it runs the next statement with this verb.
+    void delay_next(std::string verb, std::chrono::milliseconds delay);
     /// Closes all connections and refuses new ones.
     void crash();
     [[nodiscard]] int connections() const { return m_accepted; }
@@ -67,6 +70,8 @@
     /// Returns the response to one line; an empty response closes the connection.
     std::string handle_line(session& client_session, const std::string& line);
     std::string run_query(session& client_session, const std::string& id, const std::string& text);
+    /// Time to wait before the statement runs.
+    std::chrono::milliseconds take_delay(const std::string& verb);
     std::string run_item(session& client_session, const std::string& verb, const std::string& item,
                          const std::string& data);
     std::string commit(session& client_session);
@@ -81,6 +86,8 @@
     std::string m_dropped_response_verb;
     std::string m_refused_verb;
     std::string m_refused_code;
+    std::string m_delayed_verb;
+    std::chrono::milliseconds m_delay{0};
     boost::asio::io_context m_io;
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::list<connection> m_connections;
--- a/test/session_fleet.h
+++ b/test/session_fleet.h
@@ -109,6 +109,10 @@
     }
 
     [[nodiscard]] std::uint16_t port(std::size_t host = 0) const { return m_daemons[host]->port(); }
+    /// Where a host answers the requests of other hosts.
+    [[nodiscard]] const std::string& peer_address(std::size_t host = 0) const {
+        return m_peer_addresses[host];
+    }
     session_endpoint& endpoint(std::size_t index) { return *m_endpoints[index]; }
     session_platform& platform() { return m_platform; }
     proxy::session_daemon& daemon(std::size_t host = 0) { return *m_daemons[host]; }
@@ -140,6 +144,7 @@
         options.readiness = free_address();
         options.address = "127.0.0.1";
         options.peer = free_address();
+        m_peer_addresses.push_back(options.peer);
         options.store = m_platform.address();
         options.promotion = m_platform.address();
         options.stop_grace = m_stop_grace;
@@ -162,6 +167,7 @@
     std::shared_ptr<session_group_state> m_group = std::make_shared<session_group_state>();
     std::vector<std::unique_ptr<session_endpoint>> m_endpoints;
     session_platform m_platform;
+    std::vector<std::string> m_peer_addresses;
     std::vector<std::unique_ptr<proxy::session_daemon>> m_daemons;
 };
 
