Ignore outdated reports of unreachable endpoints

Cause: reported_unreachable() returned reports of any age, so that groups were checked for a replacement long after the reporting host had died.

Change: reports count for the lifetime that endpoints_unreachable_from() uses.

--- a/proxy/peer_sync.cc
+++ b/proxy/peer_sync.cc
@@ -288,7 +288,9 @@
 std::set<endpoint_id> peer_sync::reported_unreachable() const {
     std::set<endpoint_id> reported = m_sync.records().reported_unreachable();
     for (const auto& [host, report] : m_peer_reachability) {
-        reported.insert(report.unreachable.begin(), report.unreachable.end());
+        if (const auto* const recent = endpoints_unreachable_from(host)) {
+            reported.insert(recent->begin(), recent->end());
+        }
     }
     return reported;
 }
