End the attempts to reach endpoints when a daemon stops

Cause: an endpoint pool tries again for as long as its endpoint is unreachable or full. The fibers of these attempts kept the worker running after the stop, so that a process with an unreachable endpoint never exited and was killed at the end of its grace period. Seen first as 1 hang in 30 runs of the test of a full primary; a stack trace showed the worker waiting for its fibers.

Change: the pools are retired at the end of the stop.

Result: the new test failed in 3 of 3 runs and passes.

--- a/proxy/session_daemon.cc
+++ b/proxy/session_daemon.cc
@@ -259,6 +259,10 @@
     m_marks.stop();
     m_gateway_client.stop();
     m_gateway_server.stop();
+    for (const auto& [endpoint, pool] : m_fleet.all_pools()) {
+        // Ends the attempts to reach endpoints again, which would keep the process running.
+        pool->retire();
+    }
     log_line{log_class::change, "stopped"}
         .with("took_ms", boot_now() - begun)
         .with("sessions_left", m_sessions.size())
--- a/test/session_daemon_test.cc
+++ b/test/session_daemon_test.cc
@@ -1,5 +1,7 @@
 #include "proxy/session_daemon.h"
 
+#include <future>
+
 #include "session_fleet.h"
 
 using namespace jasminelead;
@@ -163,6 +165,22 @@
     CHECK(late.query("READ k10").ends_with("closed"));
 }
 
+// Guards against a process that never exits: its attempts to reach an endpoint again went on after
+// the stop.
+TEST_CASE("a daemon stops while an endpoint is unreachable") {
+    auto all = std::make_unique<fleet>();
+    caller pay{all->port(), "pay"};
+    all->endpoint(0).crash();
+    CHECK(pay.query("READ k12").starts_with("ERROR"));
+    std::promise<void> destroyed;
+    auto done = destroyed.get_future();
+    std::thread{[all = std::move(all), destroyed = std::move(destroyed)]() mutable {
+        all.reset();
+        destroyed.set_value();
+    }}.detach();
+    CHECK(done.wait_for(std::chrono::seconds{10}) == std::future_status::ready);
+}
+
 // Guards against closing a transaction's connection without an answer, so that its caller cannot
 // tell whether the commit was received.
 TEST_CASE("the caller of a transaction that a graceful stop rolls back is told so") {
