Do not ask an unreachable primary for its log

Cause: a replacement asked the silent old primary for its log for 0.2 s after the leases had ended, although the replacing host had found it unreachable before.

Change: the question is left out when the host's pool of the old primary is unreachable.

--- a/proxy/failover_agent.cc
+++ b/proxy/failover_agent.cc
@@ -432,9 +432,12 @@
 }
 
 /// Lets the successor receive the old primary's log for at most `log_handover_timeout`, then makes
-/// the old primary a replica. Skipped when the old primary does not answer.
+/// the old primary a replica. Skipped when the old primary does not answer; one that this host cannot
+/// reach is not asked, because callers wait for the new primary meanwhile.
 void failover_agent::hand_over_log(replacement_run& current) {
-    const auto last = ask_status(current.old_primary);
+    const auto pool = m_fleet.pool(current.old_primary);
+    const bool may_answer = pool && pool->health().is_reachable();
+    const auto last = may_answer ? ask_status(current.old_primary) : std::nullopt;
     if (!last || last->role != endpoint_role::primary) {
         log_step(current, "hand_over_log", "old_primary_silent");
         return;
