Let a quorum of granters confirm leases while the store does not answer

Cause: without the store a host kept its leases only while every registered host confirmed them.

Change: the store names up to nine granters (lease_granters). A host without the store may use the known primaries for one lease length after a round in which two thirds of them knew no newer record of any group. A replacement waits until more than a third have acknowledged its mark and then one lease length, or until every grant must have ended 8 s after the first mark. Granters change at most every 8 s, and until then a replacement asks the previous ones too. Removed hosts stay known as long as grants last. The quorum is used only if every known host is of a build that asks granters; before a downgrade the store has to be reachable by all hosts.

Ruled out: simple majorities. In a partition of four and three hosts the four would keep a primary whose replicas are on the other side, and the three could not replace it.

A minority that could not reach enough granters no longer marks a primary.

--- a/include/jasminelead/fleet_quorum.h
+++ b/include/jasminelead/fleet_quorum.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <optional>
 
 #include "jasminelead/types.h"
 
@@ -28,8 +29,13 @@
 /// State of a replacement that waits until no host uses the old primary.
 struct primary_stop_progress {
     std::size_t registered = 0;
-    std::size_t stopped = 0;         ///< Hosts that no longer use the primary, itself included.
-    duration since_change_recorded;  ///< Time since the store recorded the replacement.
+    std::size_t stopped = 0;  ///< Hosts that no longer use the primary, itself included.
+    /// All hosts that may use the primary are among the registered ones.
+    bool knows_all_hosts = true;
+    /// Time since the store's record is known to all hosts that it, or a quorum of the granters,
+    /// confirms; empty as long as too few granters have acknowledged it.
+    std::optional<duration> since_known;
+    duration since_changing;  ///< Time since this host has known that the primary is replaced.
     duration lease_length;
 };
 
--- a/include/jasminelead/primary_replacement.h
+++ b/include/jasminelead/primary_replacement.h
@@ -26,6 +26,7 @@
     std::size_t gateways = 0;  ///< Present hosts that connect to the group's endpoints directly.
     std::size_t voters = 0;    ///< Gateways with an up-to-date view.
     std::size_t voters_without_primary = 0;  ///< Voters that cannot connect to the primary.
+    bool can_reach_granters = true;          ///< A replacement quorum of the granters is present.
     bool is_listed = true;
     bool reports_replica_role = false;  ///< For longer than its status reports take to arrive.
     bool is_leaving = false;
--- a/proxy/failover_agent.cc
+++ b/proxy/failover_agent.cc
@@ -5,7 +5,7 @@
 #include <algorithm>
 #include <boost/fiber/operations.hpp>
 
-#include "jasminelead/fleet_quorum.h"
+#include "jasminelead/lease_granters.h"
 #include "proxy/clock.h"
 #include "proxy/event_log.h"
 
@@ -63,6 +63,7 @@
 }
 
 void failover_agent::check_groups() {
+    note_changing_groups();
     if (m_promotion_address.empty()) {
         return;
     }
@@ -182,9 +183,23 @@
     return views;
 }
 
+/// Hosts that reach the store or have asked this one for confirmations.
+std::set<host_id> failover_agent::present_hosts() const {
+    const host_liveness& liveness = m_sync.records().liveness();
+    const instant now = boot_now();
+    std::set<host_id> result;
+    for (const auto& [host, record] : m_sync.records().hosts()) {
+        if (liveness.is_live(host, now) || m_peers.endpoints_unreachable_from(host) != nullptr) {
+            result.insert(host);
+        }
+    }
+    return result;
+}
+
 primary_health failover_agent::assess_primary(const group_id& group,
                                               const endpoint_id& primary) const {
     primary_health health = count_hosts(host_views(group, primary));
+    health.can_reach_granters = is_replacement_quorum(present_hosts());
     const auto pool = m_fleet.pool(primary);
     // When no endpoint of the group is listed, the listing has not been received yet.
     health.is_listed = pool != nullptr || m_fleet.pools(group).empty();
@@ -341,7 +356,7 @@
     if (!write_record(current, record)) {
         return std::nullopt;
     }
-    current.mark_confirmed_at = boot_now();
+    note_changing_groups();
     log_step(current, "mark", "written");
     // The read also finds hosts that registered just before the mark.
     current.has_all_hosts = m_sync.confirm();
@@ -419,21 +434,68 @@
             current.has_all_hosts = m_sync.confirm();
             add_registered_hosts(current);
         }
-        // The extra host prevents completion by acknowledgements until all hosts are known.
-        progress.registered = current.hosts.size() + (current.has_all_hosts ? 0 : 1);
-        progress.stopped = static_cast<std::size_t>(std::count_if(
-            current.hosts.begin(), current.hosts.end(),
-            [&](const auto& host) { return has_stopped_using_primary(current, host.first); }));
-        progress.since_change_recorded = boot_now() - current.mark_confirmed_at;
-        progress.lease_length = m_sync.records().longest_lease() + clock_margin;
+        progress = stop_progress(current);
     } while (!is_primary_unused(progress));
     const bool all_acknowledged = progress.stopped == progress.registered;
-    log_step(current, "wait_until_unused", all_acknowledged ? "acknowledged" : "lease_ended");
+    const bool is_quorum = progress.since_known.has_value();
+    log_step(current, "wait_until_unused",
+             !is_quorum ? "grants_ended" : (all_acknowledged ? "acknowledged" : "lease_ended"));
+}
+
+primary_stop_progress failover_agent::stop_progress(replacement_run& current) const {
+    const instant now = boot_now();
+    if (!current.known_since && current.has_all_hosts &&
+        is_replacement_quorum(acknowledging_hosts(current))) {
+        current.known_since = now;
+    }
+    primary_stop_progress progress;
+    progress.registered = current.hosts.size();
+    progress.stopped = static_cast<std::size_t>(std::count_if(
+        current.hosts.begin(), current.hosts.end(),
+        [&](const auto& host) { return has_stopped_using_primary(current, host.first); }));
+    progress.knows_all_hosts = m_sync.knows_removed_hosts(now);
+    if (current.known_since) {
+        progress.since_known = now - *current.known_since;
+    }
+    const auto changing = m_changing_since.find(current.group);
+    progress.since_changing =
+        changing == m_changing_since.end() ? duration{} : now - changing->second;
+    progress.lease_length = m_sync.records().longest_lease() + clock_margin;
+    return progress;
+}
+
+std::set<host_id> failover_agent::acknowledging_hosts(const replacement_run& current) const {
+    std::set<host_id> result{m_self};
+    for (const auto& [host, incarnation] : current.hosts) {
+        if (m_sync.records().stopped(current.group, host) >= current.record.revision) {
+            result.insert(host);
+        }
+    }
+    return result;
+}
+
+/// Before the first record of granters, no host relies on them.
+bool failover_agent::is_replacement_quorum(const std::set<host_id>& hosts) const {
+    const auto& granters = m_sync.records().granters();
+    return !granters ||
+           is_replacement_known(*granters, m_sync.records().granters_known_for(boot_now()), hosts);
+}
+
+/// Hosts that the store confirms stop using a primary at its first mark, so that later marks of the
+/// same replacement do not prolong the wait for hosts that rely on granters.
+void failover_agent::note_changing_groups() {
+    for (const auto& [group, record] : m_fleet.lease.records()) {
+        if (record.phase == leadership_phase::changing) {
+            m_changing_since.emplace(group, boot_now());
+        } else {
+            m_changing_since.erase(group);
+        }
+    }
 }
 
 /// Lets the successor receive the old primary's log for at most `log_handover_timeout`, then makes
-/// the old primary a replica. Skipped when the old primary does not answer; one that this host cannot
-/// reach is not asked, because callers wait for the new primary meanwhile.
+/// the old primary a replica. Skipped when the old primary does not answer; one that this host
+/// cannot reach is not asked, because callers wait for the new primary meanwhile.
 void failover_agent::hand_over_log(replacement_run& current) {
     const auto pool = m_fleet.pool(current.old_primary);
     const bool may_answer = pool && pool->health().is_reachable();
--- a/proxy/failover_agent.h
+++ b/proxy/failover_agent.h
@@ -6,6 +6,7 @@
 #include <string_view>
 #include <vector>
 
+#include "jasminelead/fleet_quorum.h"
 #include "jasminelead/primary_replacement.h"
 #include "platform/promotion_client.h"
 #include "platform/wire.h"
@@ -36,11 +37,12 @@
         std::optional<log_point> taken_over_at;  ///< End of the successor's log.
         replacement kind = replacement::none;
         instant marked_at;                            ///< When the mark was sent to the store.
-        instant mark_confirmed_at;                    ///< When the store's confirmation arrived.
         std::map<host_id, incarnation_number> hosts;  ///< Hosts that may use the old primary.
         bool has_all_hosts = false;                   ///< `hosts` was read after the mark.
-        bool has_stepped_down = false;                ///< The old primary became a replica.
-        bool may_be_promoted = false;                 ///< A promotion may have been executed.
+        /// When a replacement quorum of the granters was first found to know the mark.
+        std::optional<instant> known_since;
+        bool has_stepped_down = false;  ///< The old primary became a replica.
+        bool may_be_promoted = false;   ///< A promotion may have been executed.
     };
 
     void run();
@@ -50,6 +52,7 @@
     void check_group(const group_id& group, const group_record& record);
     std::vector<host_view> host_views(const group_id& group, const endpoint_id& primary) const;
     [[nodiscard]] bool reports_unreachable(const host_id& host, const endpoint_id& endpoint) const;
+    std::set<host_id> present_hosts() const;
     primary_health assess_primary(const group_id& group, const endpoint_id& primary) const;
     [[nodiscard]] bool has_restarted(const group_record& record) const;
     /// Gateways of the group whose reachability reports count. Only gateways connect to its
@@ -71,6 +74,11 @@
     std::optional<platform::endpoint_status> ask_status(const endpoint_id& endpoint) const;
     std::optional<platform::endpoint_status> run_status_command(const endpoint_id& endpoint,
                                                                 std::string_view text) const;
+    primary_stop_progress stop_progress(replacement_run& current) const;
+    /// Hosts that have acknowledged the mark.
+    std::set<host_id> acknowledging_hosts(const replacement_run& current) const;
+    [[nodiscard]] bool is_replacement_quorum(const std::set<host_id>& hosts) const;
+    void note_changing_groups();
     void wait_until_primary_unused(replacement_run& current);
     [[nodiscard]] bool has_stopped_using_primary(const replacement_run& current,
                                                  const host_id& host) const;
@@ -89,6 +97,8 @@
     host_id m_self;
     std::string m_promotion_address;
     std::set<group_id> m_running;
+    /// When this host first saw that the group's present primary is replaced.
+    std::map<group_id, instant> m_changing_since;
     /// When a replacement became due, by group and revision of its record.
     std::map<std::pair<group_id, revision_number>, instant> m_due_since;
     bool m_stopped = false;
--- a/proxy/own_records.cc
+++ b/proxy/own_records.cc
@@ -15,6 +15,8 @@
 constexpr std::string_view alive_prefix = "jasminelead/alive/";
 constexpr std::string_view stopped_prefix = "jasminelead/stopped/";
 
+constexpr std::string_view granters_name = "jasminelead/fleet/granters";
+
 constexpr std::uint64_t milli = 1000;
 
 std::uint64_t cpu_milli(double cpu_share) {
@@ -25,6 +27,30 @@
     return std::string{prefix}.append(name);
 }
 
+json::array encode_hosts(const std::set<host_id>& hosts) {
+    json::array result;
+    for (const host_id& host : hosts) {
+        result.emplace_back(host.str());
+    }
+    return result;
+}
+
+/// Empty when the member is not an array of strings.
+std::optional<std::set<host_id>> hosts_of(const json::object& object, std::string_view name) {
+    const json::value* const hosts = object.if_contains(name);
+    if (hosts == nullptr || !hosts->is_array()) {
+        return std::nullopt;
+    }
+    std::set<host_id> result;
+    for (const json::value& host : hosts->get_array()) {
+        if (!host.is_string()) {
+            return std::nullopt;
+        }
+        result.emplace(host.get_string().c_str());
+    }
+    return result;
+}
+
 }  // namespace
 
 std::string group_key(const group_id& group) {
@@ -112,7 +138,8 @@
                                         {"data_centre", record.data_centre.str()},
                                         {"cpu_milli", cpu_milli(record.cpu_share)},
                                         {"unreachable", std::move(unreachable)},
-                                        {"lease_us", record.lease_length.us()}});
+                                        {"lease_us", record.lease_length.us()},
+                                        {"asks_granters", record.asks_granters}});
 }
 
 std::optional<host_record> decode_host_record(std::string_view text) {
@@ -140,10 +167,30 @@
             }
         }
     }
+    record.asks_granters = flag_of(*object, "asks_granters");
     record.lease_length = duration_of(*object, "lease_us").value_or(unstated_lease_length);
     return record;
 }
 
+std::string granters_key() {
+    return std::string{granters_name};
+}
+
+std::string encode_granters(const granter_set& granters) {
+    return json::serialize(json::object{{"members", encode_hosts(granters.members)},
+                                        {"previous", encode_hosts(granters.previous)}});
+}
+
+std::optional<granter_set> decode_granters(std::string_view text) {
+    const auto object = parse_object(text);
+    auto members = object ? hosts_of(*object, "members") : std::nullopt;
+    auto previous = object ? hosts_of(*object, "previous") : std::nullopt;
+    if (!members || members->empty() || !previous) {
+        return std::nullopt;
+    }
+    return granter_set{0, std::move(*members), std::move(*previous)};
+}
+
 std::string stopped_use_prefix(const group_id& group) {
     return with_prefix(stopped_prefix, group.str()) + "/";
 }
--- a/proxy/own_records.h
+++ b/proxy/own_records.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <string_view>
 
+#include "jasminelead/lease_granters.h"
 #include "jasminelead/primary_lease.h"
 
 /// Records that the daemons keep in the store.
@@ -37,6 +38,8 @@
     std::set<endpoint_id> unreachable;  ///< Endpoints that the host cannot reach.
     /// For how long the host may use a primary after a confirmation.
     duration lease_length = unstated_lease_length;
+    /// The host's build waits for a quorum of granters before it replaces a primary.
+    bool asks_granters = false;
     bool operator==(const host_record&) const = default;
 };
 std::string host_key(const host_id& host);
@@ -44,6 +47,11 @@
 std::string encode_host_record(const host_record& record);
 std::optional<host_record> decode_host_record(std::string_view text);
 
+std::string granters_key();
+std::string encode_granters(const granter_set& granters);
+/// Empty when the text is not a complete record. Leaves the revision at 0.
+std::optional<granter_set> decode_granters(std::string_view text);
+
 /// Key that exists while the host renews its lease in the store.
 std::string alive_key(const host_id& host);
 std::optional<host_id> host_of_alive_key(std::string_view key);
--- a/proxy/peer_messages.cc
+++ b/proxy/peer_messages.cc
@@ -96,6 +96,13 @@
     if (response.lease_age) {
         object.emplace("lease_age_us", response.lease_age->us());
     }
+    if (response.group_revisions) {
+        json::object revisions;
+        for (const auto& [group, revision] : *response.group_revisions) {
+            revisions.emplace(group.str(), revision);
+        }
+        object.emplace("group_revisions", std::move(revisions));
+    }
     return json::serialize(object);
 }
 
@@ -122,6 +129,17 @@
         }
         response.changes.push_back(std::move(*change));
     }
+    if (const json::object* const revisions = object_of(*object, "group_revisions")) {
+        response.group_revisions.emplace();
+        for (const auto& member : *revisions) {
+            const std::string group{member.key()};
+            const auto revision = number_of(*revisions, group);
+            if (!revision) {
+                return std::nullopt;
+            }
+            (*response.group_revisions)[group_id{group}] = *revision;
+        }
+    }
     return response;
 }
 
--- a/proxy/peer_messages.h
+++ b/proxy/peer_messages.h
@@ -35,6 +35,9 @@
     /// The responder knows all changes up to this revision; 0 before its first complete listing.
     revision_number complete_up_to = 0;
     std::vector<platform::store_change> changes;
+    /// Revisions of the groups' records that the responder knows. Absent unless the sender asked
+    /// for a confirmation.
+    std::optional<std::map<group_id, revision_number>> group_revisions;
 };
 
 std::string encode_peer_request(const peer_request& request);
--- a/proxy/peer_sync.cc
+++ b/proxy/peer_sync.cc
@@ -4,6 +4,7 @@
 #include <boost/fiber/operations.hpp>
 
 #include "jasminelead/fleet_quorum.h"
+#include "jasminelead/lease_granters.h"
 #include "proxy/clock.h"
 #include "proxy/event_log.h"
 
@@ -98,7 +99,7 @@
     }
     std::erase_if(m_lost_since, [&](const auto& item) { return !lost.contains(item.first); });
     const std::size_t live = m_sync.records().live_count(now);
-    const std::size_t registered = m_sync.records().hosts().size();
+    const std::size_t registered = m_sync.records().registered_count();
     for (const auto& [host, address] : lost) {
         const instant since = m_lost_since.emplace(host, now).first->second;
         if (!may_remove_host(live, registered, now - since) || is_answering(address)) {
@@ -135,28 +136,33 @@
     return is_unconfirmed(now) && m_most_peers_silent;
 }
 
-std::vector<std::string> peer_sync::peer_addresses() const {
-    std::vector<std::string> addresses;
+std::vector<peer_sync::peer> peer_sync::all_peers() const {
+    std::vector<peer> peers;
     for (const auto& [host, record] : m_sync.records().hosts()) {
         if (host != m_self) {
-            addresses.push_back(record.peer_address);
+            peers.push_back({host, record.peer_address});
         }
     }
-    return addresses.empty() ? m_seeds : addresses;
+    if (peers.empty()) {
+        for (const std::string& seed : m_seeds) {
+            peers.push_back({host_id{}, seed});
+        }
+    }
+    return peers;
 }
 
 /// Load pattern: a store outage in a large fleet. Requests from each host to all others would
 /// saturate the CPUs, so only readers query all hosts, and the other hosts query the readers.
-std::vector<std::string> peer_sync::reader_addresses() const {
-    std::vector<std::string> addresses;
+std::vector<peer_sync::peer> peer_sync::reader_peers() const {
+    std::vector<peer> peers;
     const auto& hosts = m_sync.records().hosts();
     for (const host_id& reader : m_fleet.all_readers()) {
         const auto found = hosts.find(reader);
         if (found != hosts.end() && reader != m_self) {
-            addresses.push_back(found->second.peer_address);
+            peers.push_back({reader, found->second.peer_address});
         }
     }
-    return addresses;
+    return peers;
 }
 
 peer_request peer_sync::make_peer_request() const {
@@ -167,43 +173,57 @@
 
 void peer_sync::query_peers() {
     const bool is_reader = m_fleet.store_readers().empty();
-    const auto addresses = is_reader ? peer_addresses() : reader_addresses();
+    const auto peers = is_reader ? all_peers() : reader_peers();
     const bool knows_fleet = is_reader && !m_sync.records().hosts().empty();
     const auto current = std::make_shared<round>();
     current->sent = boot_now();
-    current->pending = addresses.size();
-    for (const std::string& address : addresses) {
-        m_fleet.home().spawn([this, address, current] { query_peer(address, current); });
+    current->pending = peers.size();
+    for (const peer& asked : peers) {
+        m_fleet.home().spawn([this, asked, current] { query_peer(asked, current); });
     }
     const steady_time deadline = to_steady(current->sent + answer_timeout);
     while (current->pending > 0 && m_answered.wait(deadline)) {
     }
     const bool is_confirmed_by_peers =
         knows_fleet && !m_is_replacing &&
-        can_confirm_leases_without_store(current->confirmed_by + 1, addresses.size() + 1,
-                                         m_sync.confirmed_age(boot_now()), m_fleet.lease.length());
+        (can_confirm_leases_without_store(current->confirmed_by + 1, peers.size() + 1,
+                                          m_sync.confirmed_age(boot_now()),
+                                          m_fleet.lease.length()) ||
+         is_granted(*current));
     if (is_confirmed_by_peers) {
         m_fleet.lease.confirm(current->sent);
         m_fleet.changed.notify_all();
     }
     m_unconfirmed_rounds =
         current->recently_confirmed > 0 || is_confirmed_by_peers ? 0 : m_unconfirmed_rounds + 1;
-    m_most_peers_silent = current->answered * 2 < addresses.size();
+    m_most_peers_silent = current->answered * 2 < peers.size();
     if (is_confirmed_by_peers != m_was_confirmed_by_peers) {
         m_was_confirmed_by_peers = is_confirmed_by_peers;
         log_line{log_class::change, "lease_from_peers"}
             .with("vouched", std::uint64_t{current->confirmed_by})
-            .with("asked", std::uint64_t{addresses.size()})
+            .with("granted", std::uint64_t{current->granted_by.size()})
+            .with("asked", std::uint64_t{peers.size()})
             .with("store_age_ms", m_sync.confirmed_age(boot_now()))
             .with("lease_age_ms", m_fleet.lease.age(boot_now()))
             .write();
     }
 }
 
-void peer_sync::query_peer(const std::string& address, const std::shared_ptr<round>& current) {
+/// The host itself is a granter as well if the set contains it.
+bool peer_sync::is_granted(round& current) const {
+    const auto& granters = m_sync.records().granters();
+    if (!granters || !m_sync.records().do_all_hosts_ask_granters()) {
+        return false;
+    }
+    current.granted_by.insert(m_self);
+    return may_rely_on_grants(*granters, current.granted_by, m_sync.confirmed_age(boot_now()),
+                              m_fleet.lease.length());
+}
+
+void peer_sync::query_peer(const peer& asked, const std::shared_ptr<round>& current) {
     const std::string request = encode_peer_request(make_peer_request());
     daemon::http_call call;
-    call.address = address;
+    call.address = asked.address;
     call.target = "/peer/exchange";
     call.body = request;
     call.deadline = to_steady(current->sent + answer_timeout);
@@ -213,13 +233,14 @@
     const auto answer = ok ? decode_peer_response(response->body) : std::nullopt;
     m_counters.count("peer_answers", answer ? "received" : "missing");
     if (answer) {
-        apply(*answer, current);
+        apply(*answer, asked.host, current);
     }
     --current->pending;
     m_answered.notify_all();
 }
 
-void peer_sync::apply(const peer_response& answer, const std::shared_ptr<round>& current) {
+void peer_sync::apply(const peer_response& answer, const host_id& from,
+                      const std::shared_ptr<round>& current) {
     for (const platform::store_change& change : answer.changes) {
         m_sync.records().apply(change);
     }
@@ -229,9 +250,24 @@
         return;
     }
     current->confirmed_by += answer.is_replacing ? 0 : 1;
+    if (!answer.is_replacing && knows_all_records_of(answer)) {
+        current->granted_by.insert(from);
+    }
     current->recently_confirmed += apply_lease_age(answer, *current) ? 1 : 0;
 }
 
+/// False if the responder knows a newer record, such as a mark, that its changes did not contain.
+bool peer_sync::knows_all_records_of(const peer_response& answer) const {
+    if (!answer.group_revisions) {
+        return false;
+    }
+    return std::all_of(answer.group_revisions->begin(), answer.group_revisions->end(),
+                       [this](const auto& item) {
+                           const group_record* const known = m_fleet.lease.record(item.first);
+                           return known != nullptr && known->revision >= item.second;
+                       });
+}
+
 /// Confirms this host's lease with the responder's confirmation; true when that is recent.
 bool peer_sync::apply_lease_age(const peer_response& answer, const round& current) {
     const bool is_reader = m_fleet.store_readers().empty();
@@ -275,6 +311,12 @@
         reply.confirmed_age = age;
     }
     reply.changes = m_sync.records().changes_since(request->known);
+    if (request->hold == duration{}) {
+        reply.group_revisions.emplace();
+        for (const auto& [group, record] : m_fleet.lease.records()) {
+            (*reply.group_revisions)[group] = record.revision;
+        }
+    }
     return encode_peer_response(reply);
 }
 
--- a/proxy/peer_sync.h
+++ b/proxy/peer_sync.h
@@ -55,8 +55,13 @@
         std::size_t pending = 0;
         std::size_t answered = 0;
         std::size_t confirmed_by = 0;  ///< Peers that confirm the lease: they replace no primary.
+        std::set<host_id> granted_by;  ///< Peers that know no newer record of any group.
         std::size_t recently_confirmed = 0;  ///< Peers whose confirmation is recent.
     };
+    struct peer {
+        host_id host;  ///< Empty for a seed.
+        std::string address;
+    };
     struct peer_reachability {
         instant at;
         std::set<endpoint_id> unreachable;
@@ -69,10 +74,13 @@
     void remove_lost_hosts();
     bool is_answering(const std::string& address);
     void query_peers();
-    void query_peer(const std::string& address, const std::shared_ptr<round>& current);
-    void apply(const peer_response& answer, const std::shared_ptr<round>& current);
-    std::vector<std::string> peer_addresses() const;
-    std::vector<std::string> reader_addresses() const;
+    void query_peer(const peer& asked, const std::shared_ptr<round>& current);
+    void apply(const peer_response& answer, const host_id& from,
+               const std::shared_ptr<round>& current);
+    [[nodiscard]] bool knows_all_records_of(const peer_response& answer) const;
+    [[nodiscard]] bool is_granted(round& current) const;
+    std::vector<peer> all_peers() const;
+    std::vector<peer> reader_peers() const;
     bool apply_lease_age(const peer_response& answer, const round& current);
     peer_request make_peer_request() const;
 
--- a/proxy/record_mirror.cc
+++ b/proxy/record_mirror.cc
@@ -61,6 +61,8 @@
         }
     } else if (key.starts_with(platform::endpoint_prefix)) {
         apply_endpoint(key, value);
+    } else if (key == granters_key()) {
+        apply_granters(revision, value);
     } else if (const auto host = host_of_key(key)) {
         apply_host(*host, value);
     } else if (const auto group = group_of_key(key)) {
@@ -176,6 +178,12 @@
         [this, now](const auto& item) { return m_liveness.is_live(item.first, now); }));
 }
 
+std::size_t record_mirror::registered_count() const {
+    return static_cast<std::size_t>(
+        std::count_if(m_hosts.begin(), m_hosts.end(),
+                      [this](const auto& item) { return m_liveness.is_registered(item.first); }));
+}
+
 /// During a rolling upgrade, hosts of another build may have longer leases than this one.
 duration record_mirror::longest_lease() const {
     duration longest = m_fleet.lease.length();
@@ -188,10 +196,11 @@
 /// During a store outage the leases of all hosts may expire at once. All known hosts count when
 /// fewer than half of them have a lease.
 std::vector<host_placement> record_mirror::places(instant now) const {
-    const bool most_live = live_count(now) * 2 >= m_hosts.size();
+    const bool most_live = live_count(now) * 2 >= registered_count();
     std::vector<host_placement> result;
     for (const auto& [host, record] : m_hosts) {
-        if (!most_live || m_liveness.is_live(host, now)) {
+        const bool may_return = !most_live && m_liveness.is_registered(host);
+        if (may_return || m_liveness.is_live(host, now)) {
             result.push_back({host, record.data_centre, record.cpu_share});
         }
     }
@@ -206,8 +215,8 @@
     return reported;
 }
 
-/// A host whose registration was removed may use primaries until its lease of them has expired, so
-/// it stays in `hosts` until then.
+/// A host whose registration was removed may use primaries until the granters no longer confirm its
+/// leases, so it stays in `hosts` until then.
 void record_mirror::apply_host(const host_id& host, const std::optional<std::string>& value) {
     auto record = value ? decode_host_record(*value) : std::nullopt;
     if (record) {
@@ -220,6 +229,28 @@
     m_fleet.changed.notify_all();
 }
 
+void record_mirror::apply_granters(revision_number revision,
+                                   const std::optional<std::string>& value) {
+    auto granters = value ? decode_granters(*value) : std::nullopt;
+    if (!granters) {
+        m_counters.count("unreadable_records", "granters");
+        return;
+    }
+    granters->revision = revision;
+    log_line{log_class::change, "granters"}
+        .with("members", granters->members.size())
+        .with("previous", granters->previous.size())
+        .with("revision", revision)
+        .write();
+    m_granters = std::move(granters);
+    m_granters_since = boot_now();
+}
+
+bool record_mirror::do_all_hosts_ask_granters() const {
+    return std::all_of(m_hosts.begin(), m_hosts.end(),
+                       [](const auto& item) { return item.second.asks_granters; });
+}
+
 void record_mirror::apply_stopped(const std::string& key, const std::optional<std::string>& value) {
     revision_number& known = m_stopped_use[key];
     const revision_number reported = value ? std::strtoull(value->c_str(), nullptr, 10) : 0;
@@ -257,7 +288,7 @@
 }
 
 void record_mirror::remove_expired_hosts(instant now) {
-    for (const host_id& host : m_liveness.take_removed(longest_lease(), now)) {
+    for (const host_id& host : m_liveness.take_removed(max_time_on_grants + longest_lease(), now)) {
         m_hosts.erase(host);
         ++m_hosts_version;
     }
--- a/proxy/record_mirror.h
+++ b/proxy/record_mirror.h
@@ -48,7 +48,14 @@
     [[nodiscard]] const host_liveness& liveness() const { return m_liveness; }
     /// Incremented on each change of `hosts` or their registrations.
     [[nodiscard]] std::uint64_t hosts_version() const { return m_hosts_version; }
+    /// Hosts that may confirm leases instead of the store; empty before the first record.
+    [[nodiscard]] const std::optional<granter_set>& granters() const { return m_granters; }
+    /// Time since this host has known the present granters.
+    [[nodiscard]] duration granters_known_for(instant now) const { return now - m_granters_since; }
+    /// True if every host that could replace a primary asks the granters.
+    [[nodiscard]] bool do_all_hosts_ask_granters() const;
     [[nodiscard]] std::size_t live_count(instant now) const;
+    [[nodiscard]] std::size_t registered_count() const;
     /// Longest time for which a known host may use a primary after a confirmation.
     [[nodiscard]] duration longest_lease() const;
     /// Hosts that can serve as gateways or readers.
@@ -70,6 +77,7 @@
     void apply_endpoint(const std::string& key, const std::optional<std::string>& value);
     void apply_alive(const host_id& host, bool is_alive);
     void apply_host(const host_id& host, const std::optional<std::string>& value);
+    void apply_granters(revision_number revision, const std::optional<std::string>& value);
     void apply_stopped(const std::string& key, const std::optional<std::string>& value);
     void remove_expired_endpoints(instant now);
     void remove_expired_hosts(instant now);
@@ -83,6 +91,8 @@
     std::map<host_id, host_record> m_hosts;
     std::uint64_t m_hosts_version = 0;
     host_liveness m_liveness;
+    std::optional<granter_set> m_granters;
+    instant m_granters_since;
     std::map<endpoint_id, instant> m_unlisted_since;       ///< Endpoints whose entry was deleted.
     std::map<std::string, revision_number> m_stopped_use;  ///< By key.
     revision_number m_revision = 0;
--- a/proxy/session_daemon.cc
+++ b/proxy/session_daemon.cc
@@ -31,6 +31,7 @@
       m_mirror{m_fleet, m_counters},
       m_sync{m_fleet, m_mirror, m_counters, m_settings},
       m_peers{m_fleet, m_sync, m_counters, m_settings},
+      m_granters{m_fleet, m_sync},
       m_follower{m_fleet, m_sync, m_counters},
       m_failover{m_fleet, m_sync, m_peers, m_counters, m_settings},
       m_marks{m_fleet, m_mirror, m_counters},
@@ -73,6 +74,7 @@
     m_home.post([this] {
         m_sync.start();
         m_peers.start();
+        m_granters.start();
         m_follower.start();
         m_failover.start();
         m_marks.start();
@@ -254,6 +256,7 @@
     close_listeners();
     m_sync.stop();
     m_peers.stop();
+    m_granters.stop();
     m_follower.stop();
     m_failover.stop();
     m_marks.stop();
--- a/proxy/session_daemon.h
+++ b/proxy/session_daemon.h
@@ -12,6 +12,7 @@
 #include "proxy/fleet_state.h"
 #include "proxy/gateway_client.h"
 #include "proxy/gateway_server.h"
+#include "proxy/granter_keeper.h"
 #include "proxy/mark_exchange.h"
 #include "proxy/peer_sync.h"
 #include "proxy/record_follower.h"
@@ -71,6 +72,7 @@
     record_mirror m_mirror;
     store_sync m_sync;
     peer_sync m_peers;
+    granter_keeper m_granters;
     record_follower m_follower;
     failover_agent m_failover;
     mark_exchange m_marks;
--- a/proxy/store_sync.cc
+++ b/proxy/store_sync.cc
@@ -34,10 +34,10 @@
       m_mirror{mirror},
       m_counters{counters},
       m_self{options.host},
-      m_own_record{options.host,        daemon::wall_clock_incarnation(),
-                   options.peer,        options.data_centre,
-                   options.cpu_share,   {},
-                   fleet.lease.length()},
+      m_own_record{options.host,         daemon::wall_clock_incarnation(),
+                   options.peer,         options.data_centre,
+                   options.cpu_share,    {},
+                   fleet.lease.length(), true},
       m_store{fleet.home().io(), options.store, counters} {}
 
 void store_sync::start() {
@@ -211,6 +211,11 @@
     return is_steady && *m_first_confirmed_at + wait <= now;
 }
 
+bool store_sync::knows_removed_hosts(instant now) const {
+    return m_first_confirmed_at &&
+           *m_first_confirmed_at + max_time_on_grants + m_mirror.longest_lease() <= now;
+}
+
 duration store_sync::confirmed_age(instant now) const {
     return m_confirmed_at ? now - *m_confirmed_at : duration::max();
 }
--- a/proxy/store_sync.h
+++ b/proxy/store_sync.h
@@ -37,6 +37,8 @@
     /// True when all hosts that may use primaries are known and know this one, and their
     /// reachability reports are up to date.
     [[nodiscard]] bool can_replace_primaries(instant now) const;
+    /// True once every host that was removed before this one started has stopped using primaries.
+    [[nodiscard]] bool knows_removed_hosts(instant now) const;
     /// Time since the store last confirmed the records that are known here.
     [[nodiscard]] duration confirmed_age(instant now) const;
     /// True when this incarnation of the host is registered, and all changes up to its registration
--- a/src/fleet_quorum.cc
+++ b/src/fleet_quorum.cc
@@ -1,5 +1,7 @@
 #include "jasminelead/fleet_quorum.h"
 
+#include "jasminelead/lease_granters.h"
+
 namespace jasminelead {
 namespace {
 
@@ -21,8 +23,15 @@
 }
 
 bool is_primary_unused(const primary_stop_progress& progress) {
+    if (progress.since_changing >= max_time_on_grants + progress.lease_length) {
+        return true;
+    }
+    if (!progress.since_known) {
+        return false;
+    }
     const bool all_stopped = progress.registered > 0 && progress.stopped >= progress.registered;
-    return all_stopped || progress.since_change_recorded >= progress.lease_length;
+    return (all_stopped && progress.knows_all_hosts) ||
+           *progress.since_known >= progress.lease_length;
 }
 
 bool may_remove_host(std::size_t live_hosts, std::size_t registered_hosts, duration lost) {
--- a/src/primary_replacement.cc
+++ b/src/primary_replacement.cc
@@ -7,9 +7,10 @@
 
 namespace jasminelead {
 
-/// Load pattern: a partition in which most hosts lose the store together with a primary. They cannot
-/// confirm their leases, unless they ask every registered host, which would then hear from them. A
-/// host that neither holds its lease nor is heard thus cannot use the primary, and does not count.
+/// Load pattern: a partition in which most hosts lose the store together with a primary. They
+/// cannot confirm their leases, unless they ask every registered host, which would then hear from
+/// them. A host that neither holds its lease nor is heard thus cannot use the primary, and does not
+/// count.
 primary_health count_hosts(std::span<const host_view> hosts) {
     const auto count = [&hosts](auto condition) {
         return static_cast<std::size_t>(std::count_if(hosts.begin(), hosts.end(), condition));
@@ -31,6 +32,10 @@
 /// majority still reaches, and two halves must not keep replacing each other's primary.
 replacement decide_replacement(const primary_health& health) {
     // A host that has the views of only a few others is more likely to be partitioned itself.
+    // A mark that too few granters learn would only stop this side of a partition.
+    if (!health.can_reach_granters) {
+        return replacement::none;
+    }
     if (health.hosts * 2 < health.present || health.voters * 2 < health.gateways) {
         return replacement::none;
     }
--- a/test/fleet_quorum_test.cc
+++ b/test/fleet_quorum_test.cc
@@ -25,10 +25,19 @@
 }
 
 TEST_CASE("a primary is unused once all hosts have stopped using it or their leases have expired") {
-    CHECK(is_primary_unused({6, 6, 20_ms, 1500_ms}));
-    CHECK_FALSE(is_primary_unused({6, 5, 1499_ms, 1500_ms}));
-    CHECK(is_primary_unused({6, 1, 1500_ms, 1500_ms}));
-    CHECK_FALSE(is_primary_unused({0, 0, 20_ms, 1500_ms}));
+    CHECK(is_primary_unused({6, 6, true, 20_ms, 20_ms, 1500_ms}));
+    CHECK_FALSE(is_primary_unused({6, 5, true, 1499_ms, 1499_ms, 1500_ms}));
+    CHECK(is_primary_unused({6, 1, true, 1500_ms, 1500_ms, 1500_ms}));
+    CHECK_FALSE(is_primary_unused({0, 0, true, 20_ms, 20_ms, 1500_ms}));
+}
+
+// Guards against a promotion while hosts that the replacing host does not know, or that rely on
+// granters without the mark, still use the old primary.
+TEST_CASE("acknowledgements do not end the wait for hosts that may be unknown") {
+    CHECK_FALSE(is_primary_unused({6, 6, false, 20_ms, 20_ms, 1500_ms}));
+    CHECK(is_primary_unused({6, 6, false, 1500_ms, 1500_ms, 1500_ms}));
+    CHECK_FALSE(is_primary_unused({6, 6, true, std::nullopt, 3_s, 1500_ms}));
+    CHECK(is_primary_unused({6, 1, true, std::nullopt, 9500_ms, 1500_ms}));
 }
 
 // Guards against hosts of a partitioned data centre that remove all other hosts.
--- a/test/own_records_test.cc
+++ b/test/own_records_test.cc
@@ -18,8 +18,9 @@
     group.term = 4;
     group.taken_over_at = {3, 120};
     CHECK(decode_group_record(encode_group_record(group)) == group);
-    const host_record host{host_id{"h1"},      17,    "127.0.0.1:7400", data_centre_id{"dc"}, 0.25,
-                           {endpoint_id{"a"}}, 900_ms};
+    const host_record host{
+        host_id{"h1"}, 17,  "127.0.0.1:7400", data_centre_id{"dc"}, 0.25, {endpoint_id{"a"}},
+        900_ms,        true};
     CHECK(decode_host_record(encode_host_record(host)) == host);
 }
 
@@ -31,6 +32,15 @@
     CHECK(record->lease_length == unstated_lease_length);
 }
 
+// Guards against a granter set that is misread as smaller than it is.
+TEST_CASE("granters round-trip through encoding, and incomplete ones are rejected") {
+    const granter_set granters{0, {host_id{"h1"}, host_id{"h2"}}, {host_id{"h3"}}};
+    CHECK(decode_granters(encode_granters(granters)) == granters);
+    CHECK_FALSE(decode_granters(R"({"members":["h1"]})"));
+    CHECK_FALSE(decode_granters(R"({"members":["h1",7],"previous":[]})"));
+    CHECK_FALSE(decode_granters(R"({"members":[],"previous":[]})"));
+}
+
 // Guards against an endpoint with an empty id that counts as unreachable.
 TEST_CASE("values of other types in a list of unreachable endpoints are ignored") {
     const auto record = decode_host_record(
@@ -70,6 +80,7 @@
     response.held = 5_ms;
     response.complete_up_to = 8;
     response.changes = {{"k", 7, "v"}, {"gone", 8, std::nullopt}};
+    response.group_revisions = {{group_id{"shows"}, 6}};
     const auto decoded_response = decode_peer_response(encode_peer_response(response));
     REQUIRE(decoded_response);
     CHECK(decoded_response->knows_sender);
@@ -77,6 +88,7 @@
     CHECK(decoded_response->lease_age == 40_ms);
     CHECK(decoded_response->held == 5_ms);
     CHECK(decoded_response->complete_up_to == 8);
+    CHECK(decoded_response->group_revisions == response.group_revisions);
     REQUIRE(decoded_response->changes.size() == 2);
     CHECK(decoded_response->changes[0].value == "v");
     CHECK_FALSE(decoded_response->changes[1].value);
--- a/test/primary_replacement_test.cc
+++ b/test/primary_replacement_test.cc
@@ -86,6 +86,15 @@
     }
 }
 
+// Guards against a minority that marks a primary it can never replace, so that the majority stops
+// using it when the partition ends.
+TEST_CASE("a primary is kept while too few granters could learn of its replacement") {
+    primary_health health = healthy();
+    health.voters_without_primary = 6;
+    health.can_reach_granters = false;
+    CHECK(decide_replacement(health) == replacement::none);
+}
+
 TEST_CASE("a primary that is unregistered or has stepped down is replaced") {
     primary_health health = healthy();
     health.is_listed = false;
--- a/test/record_mirror_test.cc
+++ b/test/record_mirror_test.cc
@@ -82,7 +82,7 @@
     f.mirror.apply(
         {"jasminelead/fleet/host/h9", 95,
          encode_host_record(
-             {host_id{"h9"}, 1, "127.0.0.1:1", data_centre_id{"dc"}, 0.25, {}, 900_ms})});
+             {host_id{"h9"}, 1, "127.0.0.1:1", data_centre_id{"dc"}, 0.25, {}, 900_ms, true})});
     CHECK(f.mirror.hosts().empty());
     f.mirror.apply({"servers/a", 130, endpoint_value()});
     CHECK(f.lists("a"));
