Send callers away as soon as neither the store nor most hosts answer

Cause: hosts of a data centre that is cut off stayed ready for 0.9 to 1.25 s, because they asked their peers only when the last confirmation was 0.8 s old, and counted as confirmed while a peer of the same data centre still had a recent confirmation. The load balancer needs two more seconds to remove them; their callers were most of those that were not served.

Change: peers are asked when a confirmation takes longer than 150 ms and twice the last answer time, or fails. A host that neither the store nor most hosts answer is not ready, refuses what would have to wait, and ends idle sessions at once.

--- a/include/jasminelead/fleet_quorum.h
+++ b/include/jasminelead/fleet_quorum.h
@@ -42,6 +42,16 @@
 /// True if no host can be using the primary any more.
 bool is_primary_unused(const primary_stop_progress& progress);
 
+/// What a host sees of the store and the fleet in one round of requests.
+struct contact_round {
+    bool is_store_answering = true;
+    std::size_t asked = 0;     ///< Hosts that were asked.
+    std::size_t answered = 0;  ///< Hosts that answered in time.
+};
+
+/// True if the host rather than the store is cut off, so that callers are served sooner by another.
+bool is_host_isolated(const contact_round& round);
+
 /// True if the registration of a host that has been unresponsive for `lost` may be removed.
 bool may_remove_host(std::size_t live_hosts, std::size_t registered_hosts, duration lost);
 
--- a/proxy/peer_sync.cc
+++ b/proxy/peer_sync.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <boost/fiber/operations.hpp>
 
-#include "jasminelead/fleet_quorum.h"
 #include "jasminelead/lease_granters.h"
 #include "proxy/clock.h"
 #include "proxy/event_log.h"
@@ -60,6 +59,7 @@
         } else {
             m_was_confirmed_by_peers = false;
             m_unconfirmed_rounds = 0;
+            m_last_contact = {};
         }
         boost::this_fiber::sleep_until(to_steady(started + round_interval));
     }
@@ -71,7 +71,7 @@
     if (m_sync.is_following(now)) {
         return m_fleet.lease.age(now) > follower_stale_after;
     }
-    return m_sync.confirmed_age(now) > store_stale_after;
+    return m_sync.confirmed_age(now) > store_stale_after || !m_sync.is_store_answering(now);
 }
 
 /// Removes the registrations of hosts that are permanently lost. A host that runs but was cut off
@@ -133,7 +133,7 @@
 }
 
 bool peer_sync::is_isolated(instant now) const {
-    return is_unconfirmed(now) && m_most_peers_silent;
+    return needs_peers(now) && is_host_isolated(m_last_contact);
 }
 
 std::vector<peer_sync::peer> peer_sync::all_peers() const {
@@ -196,7 +196,7 @@
     }
     m_unconfirmed_rounds =
         current->recently_confirmed > 0 || is_confirmed_by_peers ? 0 : m_unconfirmed_rounds + 1;
-    m_most_peers_silent = current->answered * 2 < peers.size();
+    m_last_contact = {m_sync.is_store_answering(boot_now()), peers.size(), current->answered};
     if (is_confirmed_by_peers != m_was_confirmed_by_peers) {
         m_was_confirmed_by_peers = is_confirmed_by_peers;
         log_line{log_class::change, "lease_from_peers"}
--- a/proxy/peer_sync.h
+++ b/proxy/peer_sync.h
@@ -9,6 +9,7 @@
 
 #include "daemon/http_pool.h"
 #include "daemon/metrics.h"
+#include "jasminelead/fleet_quorum.h"
 #include "proxy/fleet_state.h"
 #include "proxy/peer_messages.h"
 #include "proxy/settings.h"
@@ -38,8 +39,8 @@
     /// True while neither the store nor the peers confirm this daemon's records, so that it cannot
     /// use any primary.
     [[nodiscard]] bool is_unconfirmed(instant now) const;
-    /// True when `is_unconfirmed` and most peers do not answer, so that callers should use another
-    /// host.
+    /// True when neither the store nor most peers answer, so that callers should use another host.
+    /// May be true before `is_unconfirmed` is.
     [[nodiscard]] bool is_isolated(instant now) const;
     /// Endpoints that the host recently reported as unreachable in a request; null without a recent
     /// request.
@@ -95,7 +96,7 @@
     std::map<host_id, instant> m_lost_since;  ///< Registered hosts without a lease.
     std::map<host_id, peer_reachability> m_peer_reachability;
     std::uint32_t m_unconfirmed_rounds = 0;  ///< Consecutive rounds without a confirmation.
-    bool m_most_peers_silent = false;        ///< In the last round.
+    contact_round m_last_contact;
     bool m_is_replacing = false;
     bool m_was_confirmed_by_peers = false;
     bool m_stopped = false;
--- a/proxy/session_daemon.cc
+++ b/proxy/session_daemon.cc
@@ -97,7 +97,7 @@
 
 bool session_daemon::is_ready() const {
     return !m_stopping && m_fleet.config.current() != nullptr &&
-           !m_peers.is_unconfirmed(boot_now());
+           !m_peers.is_unconfirmed(boot_now()) && !m_peers.is_isolated(boot_now());
 }
 
 page session_daemon::readiness_page() {
@@ -149,6 +149,9 @@
 /// unavailable to all hosts, so that sessions only end after the load balancer had time to find a
 /// host that is ready.
 bool session_daemon::should_close_sessions(instant now) {
+    if (m_peers.is_isolated(now)) {
+        return true;
+    }
     if (!m_peers.is_unconfirmed(now)) {
         m_unconfirmed_since.reset();
         return false;
@@ -156,13 +159,13 @@
     if (!m_unconfirmed_since) {
         m_unconfirmed_since = now;
     }
-    return m_peers.is_isolated(now) || *m_unconfirmed_since + balancer_removal_time <= now;
+    return *m_unconfirmed_since + balancer_removal_time <= now;
 }
 
 void session_daemon::run_isolation_check() {
     while (!m_stopping) {
         const instant now = boot_now();
-        m_router.set_unconfirmed(m_peers.is_unconfirmed(now));
+        m_router.set_unconfirmed(m_peers.is_unconfirmed(now) || m_peers.is_isolated(now));
         if (should_close_sessions(now)) {
             const std::vector<std::shared_ptr<session>> open{m_sessions.begin(), m_sessions.end()};
             for (const auto& item : open) {
--- a/proxy/store_sync.cc
+++ b/proxy/store_sync.cc
@@ -19,6 +19,9 @@
 constexpr duration confirm_timeout = 400_ms;
 // A watch that lags behind the store's revision for this long triggers a reload.
 constexpr duration watch_lag_timeout = 300_ms;
+// A confirmation is overdue when it takes longer than both: a slow store still answers.
+constexpr duration min_overdue_time = 150_ms;
+constexpr double overdue_in_answer_times = 2;
 // Older than a confirmation is after a single lost answer of the store.
 constexpr duration outage_age = 1500_ms;
 // A host that had lost the store has current reachability reports again after this time.
@@ -103,7 +106,12 @@
 
 bool store_sync::confirm() {
     const instant sent = boot_now();
+    m_confirm_sent_at = sent;
     const auto listing = m_store.list(fleet_prefix, "", to_steady(sent + confirm_timeout));
+    m_confirm_sent_at.reset();
+    if (listing) {
+        m_confirm_took = boot_now() - sent;
+    }
     record_store_status(listing.fault);
     if (!listing || !listing.value->is_complete) {
         return false;
@@ -202,6 +210,12 @@
     }
 }
 
+bool store_sync::is_store_answering(instant now) const {
+    const duration usual = std::max(min_overdue_time, m_confirm_took * overdue_in_answer_times);
+    const bool is_overdue = m_confirm_sent_at && *m_confirm_sent_at + usual < now;
+    return !m_store_lost && !is_overdue;
+}
+
 bool store_sync::can_replace_primaries(instant now) const {
     if (!m_first_confirmed_at || !m_store_answering_since) {
         return false;
--- a/proxy/store_sync.h
+++ b/proxy/store_sync.h
@@ -32,6 +32,9 @@
     [[nodiscard]] platform::store_client& store() { return m_store; }
     [[nodiscard]] record_mirror& records() { return m_mirror; }
     [[nodiscard]] const host_record& own_record() const { return m_own_record; }
+    /// False while a confirmation is not answered for longer than usual, or after the last one
+    /// failed.
+    [[nodiscard]] bool is_store_answering(instant now) const;
     /// Reads the fleet's records from the store. False when they were not read completely.
     bool confirm();
     /// True when all hosts that may use primaries are known and know this one, and their
@@ -108,6 +111,8 @@
     std::optional<instant> m_store_answering_since;  ///< End of the last outage.
     bool m_was_registered = false;                   ///< By an earlier process of this host.
     std::optional<instant> m_confirmed_at;
+    std::optional<instant> m_confirm_sent_at;  ///< Of a confirmation that is not answered yet.
+    duration m_confirm_took;                   ///< Answer time of the last confirmation.
     std::map<host_id, incarnation_number> m_confirmed_hosts;
     /// Version of the mirror's hosts copied into `m_confirmed_hosts`; empty after a listing.
     std::optional<std::uint64_t> m_confirmed_hosts_version;
--- a/src/fleet_quorum.cc
+++ b/src/fleet_quorum.cc
@@ -34,6 +34,13 @@
            *progress.since_known >= progress.lease_length;
 }
 
+/// Load pattern: a data centre is cut off from the others, and its callers keep arriving until the
+/// load balancer has seen the host not ready for some time. Hosts of the same data centre still
+/// answer.
+bool is_host_isolated(const contact_round& round) {
+    return !round.is_store_answering && round.answered * 2 < round.asked;
+}
+
 bool may_remove_host(std::size_t live_hosts, std::size_t registered_hosts, duration lost) {
     const bool half_live = live_hosts * 2 >= registered_hosts;
     return lost >= (half_live ? dead_host_timeout : dead_host_timeout_in_minority);
--- a/test/fleet_quorum_test.cc
+++ b/test/fleet_quorum_test.cc
@@ -40,6 +40,15 @@
     CHECK(is_primary_unused({6, 1, true, std::nullopt, 9500_ms, 1500_ms}));
 }
 
+// Guards against callers that stay with a host of a data centre that is cut off, and against hosts
+// that all send their callers away because the store is down.
+TEST_CASE("a host is isolated when neither the store nor most hosts answer") {
+    CHECK(is_host_isolated({false, 6, 1}));
+    CHECK_FALSE(is_host_isolated({false, 6, 3}));
+    CHECK_FALSE(is_host_isolated({true, 6, 0}));
+    CHECK_FALSE(is_host_isolated({false, 0, 0}));
+}
+
 // Guards against hosts of a partitioned data centre that remove all other hosts.
 TEST_CASE("a minority waits longer than a majority before it removes hosts") {
     CHECK(may_remove_host(5, 6, 1_s));
