End few sessions in a row when a host sends its callers away

Cause: a host that stops, or is isolated, ended all idle sessions in one pass. With 150 sessions the pass takes long enough on a quarter of a core for statements to arrive between the check of a session and its end; their callers got no answer.

Change: at most ten sessions are ended in a row, every 20 ms; all others still end with the answer to their next statement.

--- a/proxy/session.cc
+++ b/proxy/session.cc
@@ -386,11 +386,12 @@
     return result;
 }
 
-void session::close_when_idle(session_end reason) {
-    m_close_when_idle = true;
-    if (m_stream.is_open() && may_end_session(activity(), boot_now())) {
-        end(reason);
+bool session::close_if_idle(session_end reason) {
+    if (!m_stream.is_open() || !may_end_session(activity(), boot_now())) {
+        return false;
     }
+    end(reason);
+    return true;
 }
 
 void session::end(session_end reason) {
--- a/proxy/session.h
+++ b/proxy/session.h
@@ -37,8 +37,11 @@
 
     /// Serves the connection until it ends. Needs a fiber of its own.
     void serve();
-    /// Ends the session as soon as no statement can be in progress or in flight from the caller.
-    void close_when_idle(session_end reason);
+    /// Ends the session together with the answer to its next statement.
+    void close_after_answer() { m_close_when_idle = true; }
+    /// Ends the session unless a statement may be in progress or in flight from the caller. True if
+    /// it was ended.
+    bool close_if_idle(session_end reason);
     /// Ends the session at once.
     void abort(session_end reason) { end(reason); }
     /// Rolls an open transaction back at the caller's next statement, so that the session can end.
--- a/proxy/session_daemon.cc
+++ b/proxy/session_daemon.cc
@@ -13,7 +13,8 @@
 using namespace literals;
 
 constexpr duration log_flush_interval = 100_ms;
-constexpr duration isolation_check_interval = 100_ms;
+constexpr duration isolation_check_interval = 20_ms;
+constexpr std::size_t max_sessions_ended_at_once = 10;
 constexpr duration stop_poll_interval = 20_ms;
 // The load balancer removes a daemon after two failed probes, which are one second apart.
 constexpr duration balancer_removal_time = 2200_ms;
@@ -162,15 +163,25 @@
     return *m_unconfirmed_since + balancer_removal_time <= now;
 }
 
+/// Load pattern: a host with many sessions ends them while their callers keep sending. Between the
+/// check of a session and its end no statement may arrive, so that few are ended in a row.
+void session_daemon::close_idle_sessions(session_end reason) {
+    const std::vector<std::shared_ptr<session>> open{m_sessions.begin(), m_sessions.end()};
+    std::size_t ended = 0;
+    for (const auto& item : open) {
+        item->close_after_answer();
+        if (ended < max_sessions_ended_at_once) {
+            ended += item->close_if_idle(reason) ? 1 : 0;
+        }
+    }
+}
+
 void session_daemon::run_isolation_check() {
     while (!m_stopping) {
         const instant now = boot_now();
         m_router.set_unconfirmed(m_peers.is_unconfirmed(now) || m_peers.is_isolated(now));
         if (should_close_sessions(now)) {
-            const std::vector<std::shared_ptr<session>> open{m_sessions.begin(), m_sessions.end()};
-            for (const auto& item : open) {
-                item->close_when_idle(session_end::cut_off);
-            }
+            close_idle_sessions(session_end::cut_off);
         }
         boost::this_fiber::sleep_until(to_steady(boot_now() + isolation_check_interval));
     }
@@ -247,9 +258,9 @@
             if (now >= end_transactions) {
                 item->end_transaction();
             }
-            if (now >= close_idle) {
-                item->close_when_idle(session_end::stopping);
-            }
+        }
+        if (now >= close_idle) {
+            close_idle_sessions(session_end::stopping);
         }
         boost::this_fiber::sleep_until(to_steady(boot_now() + stop_poll_interval));
     }
--- a/proxy/session_daemon.h
+++ b/proxy/session_daemon.h
@@ -59,6 +59,7 @@
     page peer_page(std::string_view target, std::string_view body);
     [[nodiscard]] bool needs_restart(const settings& loaded) const;
     bool should_close_sessions(instant now);
+    void close_idle_sessions(session_end reason);
     void run_isolation_check();
     void run_log_flush();
     void run_stop();
