--- a/include/jasminelead/owner.h
+++ b/include/jasminelead/owner.h
@@ -120,9 +120,6 @@
     void tick(instant now, action_list& out);
     [[nodiscard]] std::optional<instant> next_wakeup() const;
     [[nodiscard]] std::vector<endpoint_status> status() const;
-    /// Number of running writes, transaction requests and writes that wait for confirmation. A
-    /// planned switchover at a time when there are none interrupts no write.
-    [[nodiscard]] std::size_t writes_in_progress(const group_id& group) const;
     [[nodiscard]] std::size_t open_transactions(const group_id& group) const;
 
 private:
--- a/src/owner.cc
+++ b/src/owner.cc
@@ -498,25 +498,6 @@
     return all;
 }
 
-std::size_t owner::writes_in_progress(const group_id& group) const {
-    std::size_t writes = 0;
-    for (const auto& [id, owned] : m_endpoints) {
-        if (owned.group != group) {
-            continue;
-        }
-        for (const auto& [number, pending] : owned.calls) {
-            const bool plain_read =
-                pending.call.kind == request_kind::statement && pending.call.read;
-            writes += pending.where == place::running && !plain_read ? 1 : 0;
-        }
-    }
-    for (const auto& [ticket, confirming] : m_confirming) {
-        const statement_call& call = confirming.pending.call;
-        writes += call.group == group && !call.read ? 1 : 0;
-    }
-    return writes;
-}
-
 std::size_t owner::open_transactions(const group_id& group) const {
     std::size_t open = 0;
     for (const auto& [id, owned] : m_endpoints) {
