Log which granters a host is missing

Change: lease_from_peers names the granters that did not grant, and is also written when a host stops being confirmed without having been confirmed by its peers before.

--- a/proxy/peer_sync.cc
+++ b/proxy/peer_sync.cc
@@ -178,6 +178,7 @@
     const auto current = std::make_shared<round>();
     current->sent = boot_now();
     current->pending = peers.size();
+    current->granted_by.insert(m_self);
     for (const peer& asked : peers) {
         m_fleet.home().spawn([this, asked, current] { query_peer(asked, current); });
     }
@@ -197,11 +198,13 @@
     m_unconfirmed_rounds =
         current->recently_confirmed > 0 || is_confirmed_by_peers ? 0 : m_unconfirmed_rounds + 1;
     m_last_contact = {m_sync.is_store_answering(boot_now()), peers.size(), current->answered};
-    if (is_confirmed_by_peers != m_was_confirmed_by_peers) {
+    const bool became_unconfirmed = m_unconfirmed_rounds == min_unconfirmed_rounds;
+    if (is_confirmed_by_peers != m_was_confirmed_by_peers || became_unconfirmed) {
         m_was_confirmed_by_peers = is_confirmed_by_peers;
         log_line{log_class::change, "lease_from_peers"}
             .with("vouched", std::uint64_t{current->confirmed_by})
             .with("granted", std::uint64_t{current->granted_by.size()})
+            .with("not_granted_by", missing_granters(*current))
             .with("asked", std::uint64_t{peers.size()})
             .with("store_age_ms", m_sync.confirmed_age(boot_now()))
             .with("lease_age_ms", m_fleet.lease.age(boot_now()))
@@ -209,13 +212,24 @@
     }
 }
 
-/// The host itself is a granter as well if the set contains it.
-bool peer_sync::is_granted(round& current) const {
+/// Granters that did not answer in time or knew a newer record, separated by blanks.
+std::string peer_sync::missing_granters(const round& current) const {
+    std::string text;
+    const auto& granters = m_sync.records().granters();
+    for (const host_id& member : granters ? granters->members : std::set<host_id>{}) {
+        if (!current.granted_by.contains(member)) {
+            text.append(text.empty() ? "" : " ").append(member.str());
+        }
+    }
+    return text;
+}
+
+/// Hosts of an earlier build replace a primary without asking the granters.
+bool peer_sync::is_granted(const round& current) const {
     const auto& granters = m_sync.records().granters();
     if (!granters || !m_sync.records().do_all_hosts_ask_granters()) {
         return false;
     }
-    current.granted_by.insert(m_self);
     return may_rely_on_grants(*granters, current.granted_by, m_sync.confirmed_age(boot_now()),
                               m_fleet.lease.length());
 }
--- a/proxy/peer_sync.h
+++ b/proxy/peer_sync.h
@@ -56,7 +56,8 @@
         std::size_t pending = 0;
         std::size_t answered = 0;
         std::size_t confirmed_by = 0;  ///< Peers that confirm the lease: they replace no primary.
-        std::set<host_id> granted_by;  ///< Peers that know no newer record of any group.
+        /// Hosts that know no newer record of any group, this one included.
+        std::set<host_id> granted_by;
         std::size_t recently_confirmed = 0;  ///< Peers whose confirmation is recent.
     };
     struct peer {
@@ -79,7 +80,8 @@
     void apply(const peer_response& answer, const host_id& from,
                const std::shared_ptr<round>& current);
     [[nodiscard]] bool knows_all_records_of(const peer_response& answer) const;
-    [[nodiscard]] bool is_granted(round& current) const;
+    [[nodiscard]] bool is_granted(const round& current) const;
+    [[nodiscard]] std::string missing_granters(const round& current) const;
     std::vector<peer> all_peers() const;
     std::vector<peer> reader_peers() const;
     bool apply_lease_age(const peer_response& answer, const round& current);
