Count the wait for grants from the first mark of one replacement

Cause: the wait of 8 s for hosts that rely on granters was counted from when a host first saw the group changing. If it missed a record in between that named the old primary again, hosts could have confirmed a lease in the meantime.

Change: a mark states the revision that it replaces, and another revision starts the wait anew. The decision is in replacement_starts, without I/O.

--- a/include/jasminelead/primary_lease.h
+++ b/include/jasminelead/primary_lease.h
@@ -25,6 +25,8 @@
     endpoint_id successor;  ///< Set while changing.
     host_id changed_by;     ///< Daemon that wrote the record.
     incarnation_number changed_by_incarnation = 0;
+    /// While changing: revision of the last record that named a primary; 0 if it is not known.
+    revision_number replaced_revision = 0;
     term_number term = 0;     ///< Term of the primary; 0 before the first replacement.
     log_point taken_over_at;  ///< End of the primary's log when it took over.
     bool operator==(const group_record&) const = default;
--- a/proxy/failover_agent.cc
+++ b/proxy/failover_agent.cc
@@ -63,7 +63,7 @@
 }
 
 void failover_agent::check_groups() {
-    note_changing_groups();
+    record_starts();
     if (m_promotion_address.empty()) {
         return;
     }
@@ -174,7 +174,7 @@
     for (const auto& [host, record] : m_sync.records().hosts()) {
         host_view view;
         view.holds_lease = liveness.is_live(host, now);
-        view.is_heard = m_peers.endpoints_unreachable_from(host) != nullptr;
+        view.is_heard = is_heard(host);
         view.is_voting = liveness.is_voting(host, now);
         view.is_gateway = connected.contains(host);
         view.reaches_primary = !reports_unreachable(host, primary);
@@ -183,13 +183,17 @@
     return views;
 }
 
+bool failover_agent::is_heard(const host_id& host) const {
+    return m_peers.endpoints_unreachable_from(host) != nullptr;
+}
+
 /// Hosts that reach the store or have asked this one for confirmations.
 std::set<host_id> failover_agent::present_hosts() const {
     const host_liveness& liveness = m_sync.records().liveness();
     const instant now = boot_now();
     std::set<host_id> result;
     for (const auto& [host, record] : m_sync.records().hosts()) {
-        if (liveness.is_live(host, now) || m_peers.endpoints_unreachable_from(host) != nullptr) {
+        if (liveness.is_live(host, now) || is_heard(host)) {
             result.insert(host);
         }
     }
@@ -350,13 +354,16 @@
     }
     add_registered_hosts(current);
     group_record record = current.record;
+    if (record.phase == leadership_phase::led) {
+        record.replaced_revision = record.revision;
+    }
     record.phase = leadership_phase::changing;
     record.successor = candidates[*chosen].id;
     current.marked_at = boot_now();
     if (!write_record(current, record)) {
         return std::nullopt;
     }
-    note_changing_groups();
+    record_starts();
     log_step(current, "mark", "written");
     // The read also finds hosts that registered just before the mark.
     current.has_all_hosts = m_sync.confirm();
@@ -457,9 +464,7 @@
     if (current.known_since) {
         progress.since_known = now - *current.known_since;
     }
-    const auto changing = m_changing_since.find(current.group);
-    progress.since_changing =
-        changing == m_changing_since.end() ? duration{} : now - changing->second;
+    progress.since_changing = m_starts.since(current.group, now);
     progress.lease_length = m_sync.records().longest_lease() + clock_margin;
     return progress;
 }
@@ -481,15 +486,9 @@
            is_replacement_known(*granters, m_sync.records().granters_known_for(boot_now()), hosts);
 }
 
-/// Hosts that the store confirms stop using a primary at its first mark, so that later marks of the
-/// same replacement do not prolong the wait for hosts that rely on granters.
-void failover_agent::note_changing_groups() {
+void failover_agent::record_starts() {
     for (const auto& [group, record] : m_fleet.lease.records()) {
-        if (record.phase == leadership_phase::changing) {
-            m_changing_since.emplace(group, boot_now());
-        } else {
-            m_changing_since.erase(group);
-        }
+        m_starts.record(group, record, boot_now());
     }
 }
 
@@ -566,6 +565,7 @@
 bool failover_agent::write_primary(replacement_run& current, const endpoint_id& primary) {
     group_record record = current.record;
     record.phase = leadership_phase::led;
+    record.replaced_revision = 0;
     record.primary = primary;
     record.successor = endpoint_id{};
     record.term = current.term;
--- a/proxy/failover_agent.h
+++ b/proxy/failover_agent.h
@@ -8,6 +8,7 @@
 
 #include "jasminelead/fleet_quorum.h"
 #include "jasminelead/primary_replacement.h"
+#include "jasminelead/replacement_starts.h"
 #include "platform/promotion_client.h"
 #include "platform/wire.h"
 #include "proxy/fleet_state.h"
@@ -52,6 +53,8 @@
     void check_group(const group_id& group, const group_record& record);
     std::vector<host_view> host_views(const group_id& group, const endpoint_id& primary) const;
     [[nodiscard]] bool reports_unreachable(const host_id& host, const endpoint_id& endpoint) const;
+    /// The host has sent requests to this one recently.
+    [[nodiscard]] bool is_heard(const host_id& host) const;
     std::set<host_id> present_hosts() const;
     primary_health assess_primary(const group_id& group, const endpoint_id& primary) const;
     [[nodiscard]] bool has_restarted(const group_record& record) const;
@@ -74,11 +77,12 @@
     std::optional<platform::endpoint_status> ask_status(const endpoint_id& endpoint) const;
     std::optional<platform::endpoint_status> run_status_command(const endpoint_id& endpoint,
                                                                 std::string_view text) const;
+    /// Also records when a replacement quorum is found to know the mark.
     primary_stop_progress stop_progress(replacement_run& current) const;
     /// Hosts that have acknowledged the mark.
     std::set<host_id> acknowledging_hosts(const replacement_run& current) const;
     [[nodiscard]] bool is_replacement_quorum(const std::set<host_id>& hosts) const;
-    void note_changing_groups();
+    void record_starts();
     void wait_until_primary_unused(replacement_run& current);
     [[nodiscard]] bool has_stopped_using_primary(const replacement_run& current,
                                                  const host_id& host) const;
@@ -97,8 +101,7 @@
     host_id m_self;
     std::string m_promotion_address;
     std::set<group_id> m_running;
-    /// When this host first saw that the group's present primary is replaced.
-    std::map<group_id, instant> m_changing_since;
+    replacement_starts m_starts;
     /// When a replacement became due, by group and revision of its record.
     std::map<std::pair<group_id, revision_number>, instant> m_due_since;
     bool m_stopped = false;
--- a/proxy/own_records.cc
+++ b/proxy/own_records.cc
@@ -71,6 +71,7 @@
                                         {"successor", record.successor.str()},
                                         {"changed_by", record.changed_by.str()},
                                         {"incarnation", record.changed_by_incarnation},
+                                        {"replaced_revision", record.replaced_revision},
                                         {"term", record.term},
                                         {"taken_over_term", record.taken_over_at.term},
                                         {"taken_over_position", record.taken_over_at.position}});
@@ -100,6 +101,7 @@
     record.successor = endpoint_id{*successor};
     record.changed_by = host_id{*changed_by};
     record.changed_by_incarnation = *incarnation;
+    record.replaced_revision = number_of(*object, "replaced_revision").value_or(0);
     record.term = *term;
     record.taken_over_at = {*taken_over_term, *taken_over_position};
     return record;
--- a/test/own_records_test.cc
+++ b/test/own_records_test.cc
@@ -15,6 +15,7 @@
     group.successor = endpoint_id{"b"};
     group.changed_by = host_id{"h1"};
     group.changed_by_incarnation = 17;
+    group.replaced_revision = 15;
     group.term = 4;
     group.taken_over_at = {3, 120};
     CHECK(decode_group_record(encode_group_record(group)) == group);
