Renew a mark whose promotion window has passed; split failover_agent.cc

Cause: a replacement that had to wait 8 s for grants found its promotion window of 3.5 s over, gave the primary up and began anew, so that it never completed.

Change: such a replacement keeps the group changing and writes a new mark, for which the wait has ended.

--- /dev/null
+++ b/proxy/failover_agent_replacement.cc
@@ -0,0 +1,307 @@
+#include <algorithm>
+#include <boost/fiber/operations.hpp>
+
+#include "jasminelead/lease_granters.h"
+#include "proxy/clock.h"
+#include "proxy/event_log.h"
+#include "proxy/failover_agent.h"
+
+namespace jasminelead::proxy {
+namespace {
+
+using namespace literals;
+
+// Pause between two attempts of this host to replace a primary.
+constexpr duration attempt_pause = 150_ms;
+// A promotion is sent only within this time after its mark was sent to the store.
+constexpr duration promotion_window = 3500_ms;
+constexpr duration clock_margin = 50_ms;
+constexpr duration promotion_timeout = 800_ms;
+constexpr duration store_timeout = 1_s;
+constexpr duration poll_interval = 30_ms;
+constexpr duration log_handover_timeout = 1_s;
+constexpr duration takeover_timeout = 3_s;
+constexpr duration unused_poll_interval = 20_ms;
+constexpr int max_replacement_attempts = 3;
+
+void pause(duration length) {
+    boost::this_fiber::sleep_until(to_steady(boot_now() + length));
+}
+
+}  // namespace
+
+void failover_agent::log_step(const replacement_run& current, std::string_view step,
+                              std::string_view outcome) const {
+    log_line{log_class::change, "failover"}
+        .with("group", current.group)
+        .with("step", step)
+        .with("outcome", outcome)
+        .with("kind", current.kind == replacement::planned ? "planned" : "urgent")
+        .with("old_primary", current.old_primary)
+        .with("successor", current.record.successor)
+        .with("token", current.record.revision)
+        .with("term", current.term)
+        .with("marked_ms_ago", boot_now() - current.marked_at)
+        .write();
+}
+
+bool failover_agent::write_record(replacement_run& current, group_record record) {
+    record.changed_by = m_self;
+    record.changed_by_incarnation = m_sync.own_record().incarnation;
+    platform::store_transaction transaction;
+    transaction.conditions.push_back({group_key(current.group), current.record.revision});
+    // Other hosts no longer wait for a host that was removed from the registry, so its write must
+    // fail.
+    transaction.conditions.push_back({host_key(m_self), m_sync.records().host_revision(m_self)});
+    transaction.updates.push_back(
+        {group_key(current.group), encode_group_record(record), platform::no_lease});
+    const auto result = m_sync.store().commit(transaction, to_steady(boot_now() + store_timeout));
+    if (!result) {
+        log_step(current, "write_record", platform::to_string(result.fault));
+        return false;
+    }
+    record.revision = *result.value;
+    current.record = record;
+    m_sync.records().apply_group(current.group, record);
+    return true;
+}
+
+std::optional<failover_agent::replacement_run> failover_agent::write_mark(const group_id& group,
+                                                                          replacement kind) {
+    const group_record* const known = m_fleet.lease.record(group);
+    replacement_run current;
+    current.group = group;
+    current.kind = kind;
+    current.record = *known;
+    current.old_primary = known->primary;
+    current.term = known->term;
+    // Another daemon that started this replacement may have promoted already.
+    current.may_be_promoted = known->phase == leadership_phase::changing;
+    const revision_number before = known->revision;
+    const auto candidates = ask_candidates(group, current.record, current.term);
+    const auto chosen = choose_successor(candidates, voters(group).size());
+    if (!chosen) {
+        log_step(current, "choose_successor", "none_reachable");
+        return std::nullopt;
+    }
+    if (m_fleet.lease.record(group)->revision != before) {
+        return std::nullopt;
+    }
+    add_registered_hosts(current);
+    group_record record = current.record;
+    if (record.phase == leadership_phase::led) {
+        record.replaced_revision = record.revision;
+    }
+    record.phase = leadership_phase::changing;
+    record.successor = candidates[*chosen].id;
+    current.marked_at = boot_now();
+    if (!write_record(current, record)) {
+        return std::nullopt;
+    }
+    record_starts();
+    log_step(current, "mark", "written");
+    // The read also finds hosts that registered just before the mark.
+    current.has_all_hosts = m_sync.confirm();
+    add_registered_hosts(current);
+    return current;
+}
+
+void failover_agent::add_registered_hosts(replacement_run& current) {
+    for (const auto& [host, record] : m_sync.records().hosts()) {
+        current.hosts.emplace(host, record.incarnation);
+    }
+}
+
+void failover_agent::replace(const group_id& group, replacement kind) {
+    for (int round = 0; round < max_replacement_attempts; ++round) {
+        if (try_replace(group, kind)) {
+            return;
+        }
+        pause(attempt_pause);
+        const group_record* const record = m_fleet.lease.record(group);
+        const bool is_own =
+            record->changed_by == m_self && record->phase == leadership_phase::changing;
+        if (!is_own) {
+            return;
+        }
+    }
+}
+
+bool failover_agent::try_replace(const group_id& group, replacement kind) {
+    auto current = write_mark(group, kind);
+    if (!current) {
+        return false;
+    }
+    if (current->may_be_promoted) {
+        const auto status = ask_status(current->record.successor);
+        if (status && status->role == endpoint_role::primary) {
+            current->term = status->term;
+            current->taken_over_at = status->received;
+            return write_primary(*current, current->record.successor);
+        }
+    }
+    wait_until_primary_unused(*current);
+    if (boot_now() - current->marked_at > promotion_window) {
+        // The next attempt writes a new mark, for which the wait has ended.
+        log_step(*current, "promote", "mark_outdated");
+        return false;
+    }
+    hand_over_log(*current);
+    if (promote(*current) && wait_for_promotion(*current)) {
+        return write_primary(*current, current->record.successor);
+    }
+    if (!current->may_be_promoted && !current->has_stepped_down) {
+        // The endpoints are unchanged, so the old primary can serve again.
+        return write_primary(*current, current->old_primary);
+    }
+    return false;
+}
+
+bool failover_agent::has_stopped_using_primary(const replacement_run& current,
+                                               const host_id& host) const {
+    if (host == m_self) {
+        return true;
+    }
+    if (m_sync.records().stopped(current.group, host) >= current.record.revision) {
+        return true;
+    }
+    // A process that started after the mark has never used the old primary.
+    const auto present = m_sync.records().hosts().find(host);
+    return present != m_sync.records().hosts().end() &&
+           present->second.incarnation != current.hosts.at(host);
+}
+
+/// Returns when no daemon can use the old primary any more: all have acknowledged the mark, or
+/// their leases have expired.
+void failover_agent::wait_until_primary_unused(replacement_run& current) {
+    primary_stop_progress progress;
+    do {
+        m_fleet.changed.wait(to_steady(boot_now() + unused_poll_interval));
+        if (!current.has_all_hosts) {
+            current.has_all_hosts = m_sync.confirm();
+            add_registered_hosts(current);
+        }
+        progress = stop_progress(current);
+    } while (!is_primary_unused(progress));
+    const bool all_acknowledged = progress.stopped == progress.registered;
+    const bool is_quorum = progress.since_known.has_value();
+    log_step(current, "wait_until_unused",
+             !is_quorum ? "grants_ended" : (all_acknowledged ? "acknowledged" : "lease_ended"));
+}
+
+primary_stop_progress failover_agent::stop_progress(replacement_run& current) const {
+    const instant now = boot_now();
+    if (!current.known_since && current.has_all_hosts &&
+        is_replacement_quorum(acknowledging_hosts(current))) {
+        current.known_since = now;
+    }
+    primary_stop_progress progress;
+    progress.registered = current.hosts.size();
+    progress.stopped = static_cast<std::size_t>(std::count_if(
+        current.hosts.begin(), current.hosts.end(),
+        [&](const auto& host) { return has_stopped_using_primary(current, host.first); }));
+    progress.knows_all_hosts = m_sync.knows_removed_hosts(now);
+    if (current.known_since) {
+        progress.since_known = now - *current.known_since;
+    }
+    progress.since_changing = m_starts.since(current.group, now);
+    progress.lease_length = m_sync.records().longest_lease() + clock_margin;
+    return progress;
+}
+
+std::set<host_id> failover_agent::acknowledging_hosts(const replacement_run& current) const {
+    std::set<host_id> result{m_self};
+    for (const auto& [host, incarnation] : current.hosts) {
+        if (m_sync.records().stopped(current.group, host) >= current.record.revision) {
+            result.insert(host);
+        }
+    }
+    return result;
+}
+
+/// Lets the successor receive the old primary's log for at most `log_handover_timeout`, then makes
+/// the old primary a replica. Skipped when the old primary does not answer; one that this host
+/// cannot reach is not asked, because callers wait for the new primary meanwhile.
+void failover_agent::hand_over_log(replacement_run& current) {
+    const auto pool = m_fleet.pool(current.old_primary);
+    const bool may_answer = pool && pool->health().is_reachable();
+    const auto last = may_answer ? ask_status(current.old_primary) : std::nullopt;
+    if (!last || last->role != endpoint_role::primary) {
+        log_step(current, "hand_over_log", "old_primary_silent");
+        return;
+    }
+    const instant deadline = boot_now() + log_handover_timeout;
+    bool complete = false;
+    while (!complete && boot_now() < deadline) {
+        const auto status = ask_status(current.record.successor);
+        complete = status && status->received >= last->received;
+        if (!complete) {
+            pause(poll_interval);
+        }
+    }
+    const term_number next = std::max(current.term, last->term) + 1;
+    const auto stepped_down =
+        run_status_command(current.old_primary, platform::step_down_text(next));
+    current.has_stepped_down = stepped_down.has_value();
+    log_step(current, "hand_over_log", complete ? "complete" : "incomplete");
+    log_step(current, "step_down", stepped_down ? "done" : "no_answer");
+}
+
+bool failover_agent::promote(replacement_run& current) {
+    platform::promotion_client client{m_fleet.home().io(), m_promotion_address};
+    if (!client.connect(to_steady(boot_now() + promotion_timeout))) {
+        log_step(current, "promote", "unreachable");
+        return false;
+    }
+    // Another daemon may have replaced the mark while this process was suspended.
+    const auto item =
+        m_sync.store().get(group_key(current.group), to_steady(boot_now() + store_timeout));
+    const bool still_marked = item && item.value->revision == current.record.revision;
+    if (!still_marked || boot_now() - current.marked_at > promotion_window) {
+        log_step(current, "promote", "mark_lost");
+        return false;
+    }
+    const platform::promotion_request request{current.group, current.record.successor, m_self,
+                                              current.record.revision};
+    const auto answer = client.promote(request, to_steady(boot_now() + promotion_timeout));
+    m_counters.count("promotions", platform::to_string(answer));
+    log_step(current, "promote", platform::to_string(answer));
+    const bool may_run = answer == platform::promotion_answer::accepted ||
+                         answer == platform::promotion_answer::unknown;
+    current.may_be_promoted = current.may_be_promoted || may_run;
+    return may_run;
+}
+
+bool failover_agent::wait_for_promotion(replacement_run& current) {
+    const instant deadline = boot_now() + takeover_timeout;
+    while (boot_now() < deadline) {
+        const auto status = ask_status(current.record.successor);
+        if (status && status->role == endpoint_role::primary) {
+            current.term = status->term;
+            // No host writes before the record names the new primary, so its log still ends where
+            // it took over.
+            current.taken_over_at = status->received;
+            return true;
+        }
+        pause(poll_interval);
+    }
+    log_step(current, "wait_until_leads", "timeout");
+    return false;
+}
+
+bool failover_agent::write_primary(replacement_run& current, const endpoint_id& primary) {
+    group_record record = current.record;
+    record.phase = leadership_phase::led;
+    record.replaced_revision = 0;
+    record.primary = primary;
+    record.successor = endpoint_id{};
+    record.term = current.term;
+    if (current.taken_over_at) {
+        record.taken_over_at = *current.taken_over_at;
+    }
+    const bool written = write_record(current, record);
+    log_step(current, "finish", written ? "written" : "not_written");
+    return written;
+}
+
+}  // namespace jasminelead::proxy
