--- a/include/jasminelead/fleet_quorum.h
+++ b/include/jasminelead/fleet_quorum.h
@@ -8,9 +8,10 @@
 /// Quorum rules for using and replacing a primary.
 ///
 /// While the store is unavailable, a host keeps its primary leases as long as every registered host
-/// confirms that it is not replacing a primary. A host that replaces a primary stops confirming, so
-/// that the leases of all others expire within one lease length. This requires that the others know
-/// the host; a new host therefore replaces no primary until the others have discovered it.
+/// confirms that it is not replacing a primary, or a quorum of granters confirms them
+/// (lease_granters.h). A host that replaces a primary stops confirming, so that the leases of hosts
+/// that ask all others expire within one lease length. This requires that the others know the host;
+/// a new host therefore replaces no primary until the others have discovered it.
 namespace jasminelead {
 
 /// True if `part` of `whole` hosts is a majority.
@@ -32,8 +33,8 @@
     std::size_t stopped = 0;  ///< Hosts that no longer use the primary, itself included.
     /// All hosts that may use the primary are among the registered ones.
     bool knows_all_hosts = true;
-    /// Time since the store's record is known to all hosts that it, or a quorum of the granters,
-    /// confirms; empty as long as too few granters have acknowledged it.
+    /// Time since a replacement quorum of the granters acknowledged the mark, so that no host has
+    /// had its lease confirmed without learning of the mark; empty before.
     std::optional<duration> since_known;
     duration since_changing;  ///< Time since this host has known that the primary is replaced.
     duration lease_length;
--- a/include/jasminelead/primary_lease.h
+++ b/include/jasminelead/primary_lease.h
@@ -12,8 +12,9 @@
 ///
 /// The store keeps one record for each group. A daemon that replaces a primary first sets the
 /// record to `changing`, and promotes the successor only after every registered daemon has
-/// acknowledged the change or `lease_length` has passed. A daemon uses a primary only while its
-/// last confirmation that the record is unchanged is younger than `lease_length`.
+/// acknowledged the change or `lease_length` has passed since enough granters did. A daemon uses a
+/// primary only while its last confirmation that the record is unchanged, by the store or by
+/// granters, is younger than `lease_length`.
 namespace jasminelead {
 
 enum class leadership_phase { led, changing };
