Split four files that did two jobs

entry.cc keeps admission and planning, entry_replies.cc judges replies; failover_calls.cc holds control calls and repair, owner_finish.cc the end of calls, testbed_faults.cc the faults of the testbed.

--- a/include/jasminelead/entry.h
+++ b/include/jasminelead/entry.h
@@ -33,6 +33,9 @@
 
 namespace detail {
 
+/// Time to wait for a term history before the loss of a session's write is accepted.
+inline constexpr duration term_history_timeout = duration::from_ms(200);
+
 /// How a retry uses the retry budget.
 enum class budget_rule : std::uint8_t {
     exempt,  ///< The retry does not use the budget.
@@ -73,6 +76,13 @@
     request_trace trace;
 };
 
+bool is_read(const pending_request& p);
+/// True when the answer acknowledges a write.
+bool commits_write(const pending_request& p);
+/// Running these twice changes no data. A transaction that is not used is rolled back.
+bool has_no_lasting_effect(const pending_request& p);
+reason reason_of(const outcome& result);
+
 }  // namespace detail
 
 /// Routes each request to an owner, retries it within its deadline and answers its caller.
--- a/include/jasminelead/owner.h
+++ b/include/jasminelead/owner.h
@@ -23,6 +23,9 @@
 
 namespace detail {
 
+/// True if the answer is valid only after a majority confirms its term.
+bool needs_confirmation(const statement_call& call);
+
 /// A statement call that has no reply yet.
 struct pending_call {
     enum class place { queued, held, running };
