--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# Builds the stand-ins and clients of the review's scripts. Run the build of the deploy file first.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+mkdir -p target
+"${CXX:-g++}" -std=c++20 -O1 -Wall -Wextra -pthread -o target/review-cases \
+    review/standins/cases.cpp -lboost_json
