Show stale reads after a planned replacement of a primary

Cause: the commit of a transaction that wrote nothing records a mark of the primary's position with the permit of the transaction's begin. The instance may have lost the lead since, so that the mark hides commits that the new primary has acknowledged.

A primary is drained and replaced while replicas apply late and a read-only transaction is open.

--- a/review/standins/cases.cpp
+++ b/review/standins/cases.cpp
@@ -66,6 +66,7 @@
 }  // namespace
 
 #include "lost.hpp"
+#include "stale.hpp"
 
 int main(int count, char** values) {
     ::signal(SIGPIPE, SIG_IGN);
@@ -88,6 +89,7 @@
     }}.detach();
     const std::map<std::string, int (*)(deployment&)> cases{
         {"lost-sync", lost_sync},
+        {"stale-after-replacement", stale_after_replacement},
     };
     const auto chosen = cases.find(name);
     int result = could_not_run;
