Show a statement that runs though no client sent it

Cause: the splitter of lines ends a line at a line feed without a carriage return. The last field of a message may contain one, and its rest is taken for a message of its own.

A client sends one write with a line feed in its data.

--- a/review/standins/cases.cpp
+++ b/review/standins/cases.cpp
@@ -66,6 +66,7 @@
 }  // namespace
 
 #include "lost.hpp"
+#include "smuggled.hpp"
 #include "stale.hpp"
 
 int main(int count, char** values) {
@@ -89,6 +90,7 @@
     }}.detach();
     const std::map<std::string, int (*)(deployment&)> cases{
         {"lost-sync", lost_sync},
+        {"smuggled", smuggled},
         {"stale-after-replacement", stale_after_replacement},
     };
     const auto chosen = cases.find(name);
