Show a session that does not read its own write after a route moved back

Cause: a session keeps the position of its last write only, with one group. A write at another group replaces it.

A route moves to another service and back while replicas apply late.

--- a/review/standins/cases.cpp
+++ b/review/standins/cases.cpp
@@ -66,6 +66,7 @@
 }  // namespace
 
 #include "lost.hpp"
+#include "route.hpp"
 #include "smuggled.hpp"
 #include "stale.hpp"
 
@@ -90,6 +91,7 @@
     }}.detach();
     const std::map<std::string, int (*)(deployment&)> cases{
         {"lost-sync", lost_sync},
+        {"route-back", route_back},
         {"smuggled", smuggled},
         {"stale-after-replacement", stale_after_replacement},
     };
