--- a/review/standins/smuggled.hpp
+++ b/review/standins/smuggled.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-// A client's text with a line feed in its last field.
+// Clients' texts with a line feed in the last field.
 inline int smuggled(deployment& all) {
     service& shows = all.add_service("showbook", zones);
     add_routes(all, "showbook");
@@ -8,28 +8,32 @@
     if (!begin_day(all)) {
         return could_not_run;
     }
-    client writer{all.daemons[0].front, "pay"};
-    const std::string id = new_id();
+    const std::string end = with_trouble() ? "\n" : " ";
     const std::string hidden = new_id();
-    const std::string text =
-        "WRITE fee paid" + (with_trouble() ? "\nQUERY " + hidden + " WRITE award none" : " twice");
-    const answer first = writer.query_as(id, text);
-    record->write("first answer: " + first.text());
-    const answer more = writer.read_answer(1500);
-    if (!more.lines.empty()) {
-        record->write("further answer, though no request is outstanding: " + more.text());
+    std::map<std::string, std::string> sent;
+    sent[new_id()] = "WRITE note bring fruit" + end + "and water";
+    sent[new_id()] = "WRITE fee paid" + end + "QUERY " + hidden + " WRITE award none";
+    for (const auto& [id, text] : sent) {
+        client writer{all.daemons[0].front, "pay"};
+        writer.query_as(id, text);
+        const answer more = writer.read_answer(1000);
+        if (!more.lines.empty()) {
+            record->write("further answer, though no request is outstanding: " + more.text());
+        }
     }
     bool is_broken = false;
     const std::lock_guard lock{shows.lock};
     for (const run_event& event : shows.runs) {
+        const auto found = sent.find(event.id);
         if (event.id == hidden) {
             record->write("UNASKED: " + event.instance + " ran " + event.id + " " +
-                          shown(event.text) + ", which was sent inside " + id);
+                          shown(event.text) + ", which was sent inside another request");
             is_broken = true;
         }
-        if (event.id == id && event.text != text) {
-            record->write("UNASKED: " + event.instance + " ran " + id +
-                          " with changed text: " + shown(event.text));
+        if (found != sent.end() && event.text != found->second) {
+            record->write("UNASKED: " + event.instance + " ran " + event.id +
+                          " with changed text: " + shown(event.text) + " instead of " +
+                          shown(found->second));
             is_broken = true;
         }
     }
