Show lost commits in a planned replacement of a primary

Cause: the hand-over of the log before a planned promotion has a time limit, after which the successor is promoted although its log is known to be incomplete; an old primary that answers its status with BUSY skips the hand-over. Neither asks whether the service has syncReplicas.

A primary is drained while one replica receives nothing and readers use the slots of the others.

--- a/review/standins/cases.cpp
+++ b/review/standins/cases.cpp
@@ -90,10 +90,11 @@
         std::_Exit(could_not_run);
     }}.detach();
     const std::map<std::string, int (*)(deployment&)> cases{
+        {"stale-after-replacement", stale_after_replacement},
         {"lost-sync", lost_sync},
+        {"lost-planned", lost_planned},
         {"route-back", route_back},
         {"smuggled", smuggled},
-        {"stale-after-replacement", stale_after_replacement},
     };
     const auto chosen = cases.find(name);
     int result = could_not_run;
--- a/review/standins/lost.hpp
+++ b/review/standins/lost.hpp
@@ -1,8 +1,11 @@
 #pragma once
 
-// A primary crashes while one replica receives nothing and the statements of the readers occupy the
+/// How the primary goes.
+enum class departure { crash, drain };
+
+// A primary goes while one replica receives nothing and the statements of the readers occupy the
 // slots of the other one, which has all acknowledged commits.
-inline int lost_sync(deployment& all) {
+inline int lost_commits(deployment& all, departure how) {
     service& shows = all.add_service("showbook", zones, true);
     add_routes(all, "showbook");
     add_daemons(all);
@@ -70,7 +73,12 @@
         deaf.change([&] { deaf.is_deaf = true; });
         record->write(deaf.id() + " receives nothing");
         sleep_ms(3000);
-        primary.crash();
+        if (how == departure::crash) {
+            primary.crash();
+        } else {
+            primary.change([&] { primary.is_draining = true; });
+            record->write(primary.id() + " is draining");
+        }
     }
     const double deadline = now_ms() + 8000;
     while (now_ms() < deadline) {
@@ -97,3 +105,11 @@
     }
     return missing.empty() ? held : broken;
 }
+
+inline int lost_sync(deployment& all) {
+    return lost_commits(all, departure::crash);
+}
+
+inline int lost_planned(deployment& all) {
+    return lost_commits(all, departure::drain);
+}
