--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -3,4 +3,4 @@
 # the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/jasminelead ] && [ -x target/review-cases ] || exit 2
-exec target/review-cases route-back review/4
+exec target/review-cases stale-after-replacement review/4
