Show the lost commits with less load and no crash

The first case now drains two instances of a service in turn, while one replica receives nothing: no load and no crash are needed. The second one plays a burst of 1.7 times the usual rate in place of a rate that was too high for one service, and the stand-in treats a status like any statement when no slot is free.

--- a/review/standins/cases.cpp
+++ b/review/standins/cases.cpp
@@ -91,8 +91,10 @@
     }}.detach();
     const std::map<std::string, int (*)(deployment&)> cases{
         {"stale-after-replacement", stale_after_replacement},
-        {"lost-sync", lost_sync},
-        {"lost-planned", lost_planned},
+        {"lost-under-load", lost_under_load},
+        {"lost-in-turn", lost_in_turn},
+        {"lost-planned-under-load", lost_planned_under_load},
+        {"lost-beside-draining", lost_beside_draining},
         {"route-back", route_back},
         {"smuggled", smuggled},
     };
--- a/review/standins/lost.hpp
+++ b/review/standins/lost.hpp
@@ -1,11 +1,21 @@
 #pragma once
 
-/// How the primary goes.
-enum class departure { crash, drain };
+/// How the primary goes, and what keeps the complete replica from being chosen.
+enum class departure {
+    crash_under_load,
+    drain_under_load,
+    crash_beside_draining_replica,
+    drain_in_turn,  ///< After the complete replica, as when a service's instances are replaced.
+};
 
-// A primary goes while one replica receives nothing and the statements of the readers occupy the
-// slots of the other one, which has all acknowledged commits.
+// A primary goes while one replica receives nothing. The other one has all acknowledged commits;
+// the statements of the readers occupy its slots, or it is draining.
 inline int lost_commits(deployment& all, departure how) {
+    const bool is_loaded = how == departure::crash_under_load || how == departure::drain_under_load;
+    // About 130 reads a second, the users' rate for one of their three services, and 1.7 times
+    // that.
+    const std::size_t usual_readers = is_loaded ? 10 : 0;
+    const std::size_t burst_readers = is_loaded ? 7 : 0;
     service& shows = all.add_service("showbook", zones, true);
     add_routes(all, "showbook");
     add_daemons(all);
@@ -37,19 +47,23 @@
     }
     std::atomic<bool> running = true;
     std::list<std::thread> clients;
-    // About 310 reads a second, the rate of the users' small deployments for `read_your_writes`.
-    for (std::size_t i = 0; i < 24; ++i) {
-        clients.emplace_back([&, i] {
-            const std::uint16_t port = all.daemons[i % all.daemons.size()].front;
-            auto session = std::make_unique<client>(port, i % 3 == 0 ? "view" : "award");
-            while (running) {
-                if (!session->query("READ schedule", 3000).complete) {
-                    session = std::make_unique<client>(port, i % 3 == 0 ? "view" : "award");
+    std::size_t started_readers = 0;
+    const auto add_readers = [&](std::size_t count) {
+        for (std::size_t k = 0; k < count; ++k) {
+            const std::size_t i = started_readers++;
+            clients.emplace_back([&, i] {
+                const std::uint16_t port = all.daemons[i % all.daemons.size()].front;
+                auto session = std::make_unique<client>(port, i % 3 == 0 ? "view" : "award");
+                while (running) {
+                    if (!session->query("READ schedule", 3000).complete) {
+                        session = std::make_unique<client>(port, i % 3 == 0 ? "view" : "award");
+                    }
+                    sleep_ms(55);
                 }
-                sleep_ms(55);
-            }
-        });
-    }
+            });
+        }
+    };
+    add_readers(usual_readers);
     for (std::size_t i = 0; i < 6; ++i) {
         clients.emplace_back([&, i] {
             const std::uint16_t port = all.daemons[i].front;
@@ -72,12 +86,22 @@
     if (with_trouble()) {
         deaf.change([&] { deaf.is_deaf = true; });
         record->write(deaf.id() + " receives nothing");
-        sleep_ms(3000);
-        if (how == departure::crash) {
-            primary.crash();
-        } else {
+        sleep_ms(2500);
+        if (is_loaded) {
+            add_readers(burst_readers);
+            record->write("the readers' rate is 1.7 times as high");
+        }
+        sleep_ms(500);
+        if (!is_loaded) {
+            healthy.change([&] { healthy.is_draining = true; });
+            record->write(healthy.id() + " is draining");
+            sleep_ms(1000);
+        }
+        if (how == departure::drain_under_load || how == departure::drain_in_turn) {
             primary.change([&] { primary.is_draining = true; });
             record->write(primary.id() + " is draining");
+        } else {
+            primary.crash();
         }
     }
     const double deadline = now_ms() + 8000;
@@ -106,10 +130,18 @@
     return missing.empty() ? held : broken;
 }
 
-inline int lost_sync(deployment& all) {
-    return lost_commits(all, departure::crash);
+inline int lost_under_load(deployment& all) {
+    return lost_commits(all, departure::crash_under_load);
+}
+
+inline int lost_in_turn(deployment& all) {
+    return lost_commits(all, departure::drain_in_turn);
+}
+
+inline int lost_planned_under_load(deployment& all) {
+    return lost_commits(all, departure::drain_under_load);
 }
 
-inline int lost_planned(deployment& all) {
-    return lost_commits(all, departure::drain);
+inline int lost_beside_draining(deployment& all) {
+    return lost_commits(all, departure::crash_beside_draining_replica);
 }
--- a/review/standins/world.hpp
+++ b/review/standins/world.hpp
@@ -755,7 +755,7 @@
     double lag_ms = 60;        ///< From receiving to applying.
     double work_ms = 6;
     unsigned slots = 3;
-    std::size_t queue = 24;
+    std::size_t queue = 2;  ///< Statements of any kind that wait for a slot; others get BUSY.
     std::size_t max_connections = 22;
     double handshake_ms = 12;
 
@@ -1074,9 +1074,8 @@
                         const std::string& rest, const std::string& text,
                         const std::optional<log_point>& after) {
         lock_type lock{m_service.lock};
-        const std::size_t allowed = verb == "STATUS" ? 0 : queue;
         if (m_busy >= slots) {
-            if (m_waiting >= allowed) {
+            if (m_waiting >= queue) {
                 record->write("busy " + m_id + " " + id + " " + shown(text));
                 return error(open, "BUSY");
             }
