--- a/review/standins/stale.hpp
+++ b/review/standins/stale.hpp
@@ -37,6 +37,22 @@
         record->write("the primary is cut off from its replicas and from four of six daemons");
     }
     const double cut_at = now_ms();
+    // Callers of the four daemons read at the primary, so that these notice the cut.
+    std::atomic<bool> callers_read = true;
+    std::list<std::thread> callers;
+    for (const daemon_process& item : all.daemons) {
+        if (item.zone != near.zone) {
+            callers.emplace_back([&callers_read, port = item.front] {
+                auto session = std::make_unique<client>(port, "pay");
+                while (callers_read) {
+                    if (!session->query("READ schedule", 2000).complete) {
+                        session = std::make_unique<client>(port, "pay");
+                    }
+                    sleep_ms(100);
+                }
+            });
+        }
+    }
     std::atomic<bool> keep_reading = true;
     std::thread reading{[&] {
         for (int i = 0; keep_reading && i < 9; ++i) {
@@ -51,8 +67,6 @@
         return !with_trouble() || shows.newest_term > 3;
     };
     while (!is_replaced() && now_ms() < cut_at + 3500) {
-        // A client whose write is refused writes again; this is how the daemons see the cut.
-        write_until_done(writer, "other", "text", 100);
         sleep_ms(20);
     }
     const auto change = write_until_done(writer, "schedule", "new", 2000);
@@ -61,6 +75,10 @@
     reading.join();
     const answer ended = transaction.query("COMMIT");
     if (!change || !is_replaced()) {
+        callers_read = false;
+        for (std::thread& item : callers) {
+            item.join();
+        }
         return could_not_run;
     }
     record->write("the transaction ended: " + ended.text());
@@ -73,7 +91,11 @@
         viewer.query_as(id, "READ schedule");
         sleep_ms(30);
     }
+    callers_read = false;
     record->write("the cut has lasted " + std::to_string(now_ms() - cut_at) + " ms");
+    for (std::thread& item : callers) {
+        item.join();
+    }
     int stale = 0;
     const std::lock_guard lock{shows.lock};
     for (const run_event& event : shows.runs) {
