Log what a replacement of a primary knows at each step

Cause: the logs cannot tell the hypotheses on two primaries of one group apart. They do not say why a replacement began, which role and term each endpoint reported, how long the promotion call took, or under which record a statement was acknowledged.

Change: `replacement_due` names the sign of failure and `endpoint_status` each answer to STATUS or why there is none; the promotion call has `took_ms` and a histogram, lines of statements on a primary the revision of the record that permitted it, and a counter counts replacements by reason. No decision is changed.

--- a/include/jasminelead/types.h
+++ b/include/jasminelead/types.h
@@ -109,6 +109,10 @@
 
 enum class endpoint_role { replica, primary };
 
+constexpr std::string_view to_string(endpoint_role role) {
+    return role == endpoint_role::primary ? "primary" : "replica";
+}
+
 /// Where an answer was read: the endpoint's term, the term of its last log record, and the
 /// applied position of the snapshot.
 struct position_stamp {
--- a/proxy/failover_agent.cc
+++ b/proxy/failover_agent.cc
@@ -97,7 +97,11 @@
         return;
     }
     const instant now = boot_now();
-    const instant since = m_due_since.emplace(key, now).first->second;
+    const auto [due, is_first] = m_due_since.emplace(key, now);
+    const instant since = due->second;
+    if (is_first) {
+        log_due(group, record, health, kind, only_by_role);
+    }
     duration delay = start_delay(group);
     if (changing) {
         delay = delay + (has_restarted(record) ? restart_delay : takeover_delay);
@@ -215,35 +219,75 @@
     return rank_delay * static_cast<double>(before);
 }
 
-std::optional<platform::endpoint_status> failover_agent::run_status_command(
-    const endpoint_id& endpoint, std::string_view text) const {
+failover_agent::status_answer failover_agent::run_status_command(const endpoint_id& endpoint,
+                                                                 std::string_view text) const {
     const auto pool = m_fleet.pool(endpoint);
     if (!pool) {
-        return std::nullopt;
+        return {std::nullopt, "not_listed"};
     }
     // Uses a separate connection, because pooled ones may be in use or unresponsive.
     endpoint_connection link{m_fleet.home().io()};
     const auto deadline = to_steady(boot_now() + status_timeout);
     const auto opened = link.open(pool->endpoint().entry, deadline);
-    if (!std::holds_alternative<std::optional<log_point>>(opened)) {
-        return std::nullopt;
+    if (const auto* const refusal = std::get_if<statement_fault>(&opened)) {
+        return {std::nullopt, to_string(*refusal)};
+    }
+    if (const auto* const lost = std::get_if<connection_fault>(&opened)) {
+        return {std::nullopt, to_string(*lost)};
     }
     std::string query;
     platform::encode_query(query, platform::internal_statement_id(), text);
     const auto answer = link.exchange(query, deadline);
     link.close();
-    const auto* const received = std::get_if<endpoint_answer>(&answer);
-    if (received == nullptr || received->fault || received->rows.empty()) {
-        return std::nullopt;
+    if (const auto* const lost = std::get_if<connection_fault>(&answer)) {
+        return {std::nullopt, to_string(*lost)};
     }
-    return platform::decode_status_rows(received->rows);
+    const auto& received = std::get<endpoint_answer>(answer);
+    if (received.fault) {
+        return {std::nullopt, to_string(*received.fault)};
+    }
+    const auto status = platform::decode_status_rows(received.rows);
+    return {status, status ? "" : "unreadable"};
 }
 
-std::optional<platform::endpoint_status> failover_agent::ask_status(
-    const endpoint_id& endpoint) const {
+failover_agent::status_answer failover_agent::ask_status(const endpoint_id& endpoint) const {
     return run_status_command(endpoint, platform::status_text());
 }
 
+void failover_agent::log_status(const group_id& group, std::string_view step,
+                                const endpoint_id& endpoint, const status_answer& answer) const {
+    log_line line{log_class::change, "endpoint_status"};
+    line.with("group", group).with("step", step).with("endpoint", endpoint);
+    if (answer.status) {
+        line.with("role", to_string(answer.status->role))
+            .with("term", answer.status->term)
+            .with("log_term", answer.status->received.term)
+            .with("log_position", answer.status->received.position);
+    } else {
+        line.with("fault", answer.fault);
+    }
+    line.write();
+}
+
+/// Names each sign of failure, because the reasons of replacements that follow each other differ.
+void failover_agent::log_due(const group_id& group, const group_record& record,
+                             const primary_health& health, replacement kind, bool only_by_role) {
+    const std::string_view why = record.phase == leadership_phase::changing ? "unfinished"
+                                 : only_by_role                             ? "listed_as_replica"
+                                 : !health.is_listed                        ? "not_listed"
+                                 : kind == replacement::planned             ? "leaving"
+                                                                            : "unreachable";
+    m_counters.count("replacements_due", why);
+    log_line{log_class::change, "replacement_due"}
+        .with("group", group)
+        .with("primary", record.primary)
+        .with("reason", why)
+        .with("revision", record.revision)
+        .with("voters", std::uint64_t{health.voters})
+        .with("voters_without", std::uint64_t{health.voters_without_primary})
+        .write();
+}
+
 std::vector<successor_candidate> failover_agent::ask_candidates(const group_id& group,
                                                                 const group_record& record,
                                                                 term_number& term) const {
@@ -255,7 +299,10 @@
         const bool usable = endpoint.entry.id != old_primary &&
                             endpoint.entry.state == member_state::live &&
                             pool->health().is_reachable();
-        const auto status = usable ? ask_status(endpoint.entry.id) : std::nullopt;
+        const status_answer answer =
+            usable ? ask_status(endpoint.entry.id) : status_answer{std::nullopt, "passed_over"};
+        log_status(group, "choose_successor", endpoint.entry.id, answer);
+        const auto& status = answer.status;
         if (!status) {
             continue;
         }
--- a/proxy/failover_agent.h
+++ b/proxy/failover_agent.h
@@ -29,6 +29,10 @@
     void stop() { m_stopped = true; }
 
 private:
+    struct status_answer {
+        std::optional<platform::endpoint_status> status;
+        std::string_view fault;  ///< Why there is no status.
+    };
     /// State of a replacement that this daemon carries out.
     struct replacement_run {
         group_id group;
@@ -74,9 +78,13 @@
     std::vector<successor_candidate> ask_candidates(const group_id& group,
                                                     const group_record& record,
                                                     term_number& term) const;
-    std::optional<platform::endpoint_status> ask_status(const endpoint_id& endpoint) const;
-    std::optional<platform::endpoint_status> run_status_command(const endpoint_id& endpoint,
-                                                                std::string_view text) const;
+    status_answer ask_status(const endpoint_id& endpoint) const;
+    status_answer run_status_command(const endpoint_id& endpoint, std::string_view text) const;
+    /// `step` names the step of the replacement that asked.
+    void log_status(const group_id& group, std::string_view step, const endpoint_id& endpoint,
+                    const status_answer& answer) const;
+    void log_due(const group_id& group, const group_record& record, const primary_health& health,
+                 replacement kind, bool only_by_role);
     /// Also records when a replacement quorum is found to know the mark.
     primary_stop_progress stop_progress(replacement_run& current) const;
     /// Hosts that have acknowledged the mark.
@@ -91,8 +99,9 @@
     bool wait_for_promotion(replacement_run& current);
     bool write_primary(replacement_run& current, const endpoint_id& primary);
     bool write_record(replacement_run& current, group_record record);
-    void log_step(const replacement_run& current, std::string_view step,
-                  std::string_view outcome) const;
+    /// `since` is when the step began, for steps whose length is logged.
+    void log_step(const replacement_run& current, std::string_view step, std::string_view outcome,
+                  std::optional<instant> since = std::nullopt) const;
 
     fleet_state& m_fleet;
     store_sync& m_sync;
--- a/proxy/failover_agent_replacement.cc
+++ b/proxy/failover_agent_replacement.cc
@@ -23,6 +23,7 @@
 constexpr duration takeover_timeout = 3_s;
 constexpr duration unused_poll_interval = 20_ms;
 constexpr int max_replacement_attempts = 3;
+constexpr double ms_per_s = 1000;
 
 void pause(duration length) {
     boost::this_fiber::sleep_until(to_steady(boot_now() + length));
@@ -31,9 +32,9 @@
 }  // namespace
 
 void failover_agent::log_step(const replacement_run& current, std::string_view step,
-                              std::string_view outcome) const {
-    log_line{log_class::change, "failover"}
-        .with("group", current.group)
+                              std::string_view outcome, std::optional<instant> since) const {
+    log_line line{log_class::change, "failover"};
+    line.with("group", current.group)
         .with("step", step)
         .with("outcome", outcome)
         .with("kind", current.kind == replacement::planned ? "planned" : "urgent")
@@ -41,8 +42,11 @@
         .with("successor", current.record.successor)
         .with("token", current.record.revision)
         .with("term", current.term)
-        .with("marked_ms_ago", boot_now() - current.marked_at)
-        .write();
+        .with("marked_ms_ago", boot_now() - current.marked_at);
+    if (since) {
+        line.with("took_ms", boot_now() - *since);
+    }
+    line.write();
 }
 
 bool failover_agent::write_record(replacement_run& current, group_record record) {
@@ -133,7 +137,9 @@
         return false;
     }
     if (current->may_be_promoted) {
-        const auto status = ask_status(current->record.successor);
+        const status_answer answer = ask_status(current->record.successor);
+        log_status(group, "take_over", current->record.successor, answer);
+        const auto& status = answer.status;
         if (status && status->role == endpoint_role::primary) {
             current->term = status->term;
             current->taken_over_at = status->received;
@@ -225,7 +231,10 @@
 void failover_agent::hand_over_log(replacement_run& current) {
     const auto pool = m_fleet.pool(current.old_primary);
     const bool may_answer = pool && pool->health().is_reachable();
-    const auto last = may_answer ? ask_status(current.old_primary) : std::nullopt;
+    const status_answer answer =
+        may_answer ? ask_status(current.old_primary) : status_answer{std::nullopt, "passed_over"};
+    log_status(current.group, "hand_over_log", current.old_primary, answer);
+    const auto& last = answer.status;
     if (!last || last->role != endpoint_role::primary) {
         log_step(current, "hand_over_log", "old_primary_silent");
         return;
@@ -233,7 +242,7 @@
     const instant deadline = boot_now() + log_handover_timeout;
     bool complete = false;
     while (!complete && boot_now() < deadline) {
-        const auto status = ask_status(current.record.successor);
+        const auto status = ask_status(current.record.successor).status;
         complete = status && status->received >= last->received;
         if (!complete) {
             pause(poll_interval);
@@ -241,7 +250,7 @@
     }
     const term_number next = std::max(current.term, last->term) + 1;
     const auto stepped_down =
-        run_status_command(current.old_primary, platform::step_down_text(next));
+        run_status_command(current.old_primary, platform::step_down_text(next)).status;
     current.has_stepped_down = stepped_down.has_value();
     log_step(current, "hand_over_log", complete ? "complete" : "incomplete");
     log_step(current, "step_down", stepped_down ? "done" : "no_answer");
@@ -263,9 +272,12 @@
     }
     const platform::promotion_request request{current.group, current.record.successor, m_self,
                                               current.record.revision};
-    const auto answer = client.promote(request, to_steady(boot_now() + promotion_timeout));
+    const instant sent = boot_now();
+    const auto answer = client.promote(request, to_steady(sent + promotion_timeout));
     m_counters.count("promotions", platform::to_string(answer));
-    log_step(current, "promote", platform::to_string(answer));
+    m_counters.observe_seconds("promotion", current.group.str(),
+                               (boot_now() - sent).ms() / ms_per_s);
+    log_step(current, "promote", platform::to_string(answer), sent);
     const bool may_run = answer == platform::promotion_answer::accepted ||
                          answer == platform::promotion_answer::unknown;
     current.may_be_promoted = current.may_be_promoted || may_run;
@@ -274,9 +286,12 @@
 
 bool failover_agent::wait_for_promotion(replacement_run& current) {
     const instant deadline = boot_now() + takeover_timeout;
+    status_answer answer;
     while (boot_now() < deadline) {
-        const auto status = ask_status(current.record.successor);
+        answer = ask_status(current.record.successor);
+        const auto& status = answer.status;
         if (status && status->role == endpoint_role::primary) {
+            log_status(current.group, "wait_until_leads", current.record.successor, answer);
             current.term = status->term;
             // No host writes before the record names the new primary, so its log still ends where
             // it took over.
@@ -285,6 +300,7 @@
         }
         pause(poll_interval);
     }
+    log_status(current.group, "wait_until_leads", current.record.successor, answer);
     log_step(current, "wait_until_leads", "timeout");
     return false;
 }
--- a/proxy/fleet_state.cc
+++ b/proxy/fleet_state.cc
@@ -70,7 +70,7 @@
         .with("group", endpoint.entry.group)
         .with("data_centre", endpoint.entry.data_centre)
         .with("state", endpoint.entry.state == member_state::live ? "live" : "leaving")
-        .with("role", endpoint.role == endpoint_role::primary ? "primary" : "replica")
+        .with("role", to_string(endpoint.role))
         .write();
     changed.notify_all();
 }
--- a/proxy/statement_attempt.h
+++ b/proxy/statement_attempt.h
@@ -21,6 +21,8 @@
     std::set<endpoint_id> excluded;  ///< Not tried again until the next wait.
     std::optional<log_point> after;  ///< Log point that the read must see.
     duration point_age;              ///< How long ago the primary's log had reached `after`.
+    /// Record that permitted the use of the primary; empty on a replica.
+    std::optional<revision_number> record_revision;
     bool may_pass_on = false;  ///< Refused rather than waiting for a full primary's connections.
     std::uint32_t tries = 0;
     reason last_reason = reason::none;
--- a/proxy/statement_router.cc
+++ b/proxy/statement_router.cc
@@ -354,6 +354,7 @@
         }
         acquired_primary& used = std::get<acquired_primary>(acquired);
         const endpoint_id endpoint = used.permit.primary;
+        current.record_revision = used.permit.revision;
         ++current.tries;
         const instant sent = boot_now();
         const auto answer = run_statement(*used.run.connection.link, session, statement,
@@ -432,6 +433,9 @@
         .with("tries", current.tries)
         .with("config", m_fleet.config.version())
         .with("lease_age_ms", m_fleet.lease.age(now));
+    if (current.record_revision) {
+        line.with("record", *current.record_revision);
+    }
     if (!success && !current.skip_reasons.empty()) {
         line.with("passed_over", current.skip_reasons_text());
     }
--- a/proxy/statement_router_transactions.cc
+++ b/proxy/statement_router_transactions.cc
@@ -11,6 +11,10 @@
 
 constexpr duration rollback_timeout = 500_ms;
 
+std::optional<revision_number> revision_of(const std::optional<primary_permit>& permit) {
+    return permit ? std::optional{permit->revision} : std::nullopt;
+}
+
 }  // namespace
 
 std::variant<statement_router::acquired_endpoint, statement_outcome>
@@ -42,6 +46,7 @@
             return *refusal;
         }
         const acquired_endpoint& used = std::get<acquired_endpoint>(acquired);
+        current.record_revision = revision_of(used.permit);
         ++current.tries;
         const instant sent = boot_now();
         const auto answer = run_statement(*used.run.connection.link, session, begin_query,
@@ -110,6 +115,7 @@
                                                       const database_route& route,
                                                       const forwarded_statement& statement) {
     statement_attempt current{route, statement};
+    current.record_revision = revision_of(transaction.permit);
     const endpoint_id endpoint = transaction.pool->endpoint().entry.id;
     for (;;) {
         const auto slot = take_slot(transaction, current);
@@ -150,6 +156,7 @@
                                            const database_route& route,
                                            const forwarded_statement& statement) {
     statement_attempt current{route, statement};
+    current.record_revision = revision_of(transaction.permit);
     const endpoint_id endpoint = transaction.pool->endpoint().entry.id;
     const bool needs_valid_lease = transaction.wrote && transaction.permit;
     for (;;) {
