Show three ways to two primaries of one group

Change: tests with one session daemon in front of simulated endpoints, which now behave like the users': a former primary goes on for a second or until it is told to step down, promotions may take effect late, and the list may show roles late. No product code is changed.

--- a/support/session_endpoint.cc
+++ b/support/session_endpoint.cc
@@ -126,6 +126,13 @@
     return std::to_string(m_group->term) + "." + std::to_string(m_group->position);
 }
 
+std::string session_endpoint::status_row() const {
+    const bool is_promoted = m_group->primary == m_id;
+    const std::uint64_t term = is_promoted || !leads() ? m_group->term : m_former_term.load();
+    return std::string{"ROW "} + (leads() ? "primary " : "replica ") + std::to_string(term) + " " +
+           point() + " 0 0 0 1\r\n";
+}
+
 std::string session_endpoint::success_response(const session& client_session,
                                                const std::string& rows) const {
     return rows + "DONE signed-by-" + m_id + "\r\nREADY " + client_session.state + " " + point() +
@@ -174,6 +181,9 @@
             return error_response(client_session, m_refused_code);
         }
     }
+    if (verb == "STATUS" && m_is_busy) {
+        return error_response(client_session, "BUSY");
+    }
     std::this_thread::sleep_for(take_delay(verb));
     const std::lock_guard lock{m_group->lock};
     m_group->log.push_back(m_id + " " + id + " " + text);
@@ -193,14 +203,12 @@
         client_session.prepared[name] = rest.substr(0, rest.find(' '));
         reply = success_response(client_session, "");
     } else if (verb == "STATUS") {
-        const bool leads = m_group->primary == m_id;
-        reply = success_response(
-            client_session, "ROW " + std::string{leads ? "primary " : "replica "} +
-                                std::to_string(m_group->term) + " " + point() + " 0 0 0 1\r\n");
+        reply = success_response(client_session, status_row());
     } else if (verb == "STEPDOWN") {
+        step_down();
         reply = success_response(client_session, "ROW replica 1 " + point() + " 0 0 0 1\r\n");
     } else if (verb == "BEGIN") {
-        const bool allowed = name == "READ" || m_group->primary == m_id;
+        const bool allowed = name == "READ" || leads();
         client_session.state = allowed ? 'T' : 'I';
         reply = allowed ? success_response(client_session, "")
                         : error_response(client_session, "READONLY");
@@ -237,7 +245,7 @@
         value = own == client_session.written.end() ? value : own->second;
         return success_response(client_session, "ROW " + value + "\r\n");
     }
-    if (m_group->primary != m_id) {
+    if (!leads()) {
         return error_response(client_session, "READONLY");
     }
     client_session.written[item] = data;
@@ -249,7 +257,10 @@
     for (const auto& [item, data] : client_session.written) {
         m_group->items[item] = data;
     }
-    m_group->position += client_session.written.empty() ? 0 : 1;
+    if (!client_session.written.empty()) {
+        ++m_group->position;
+        m_group->unpromoted_commits += m_group->primary == m_id ? 0 : 1;
+    }
     client_session.written.clear();
     client_session.state = 'I';
     return success_response(client_session, "");
--- a/support/session_endpoint.h
+++ b/support/session_endpoint.h
@@ -25,6 +25,7 @@
     std::uint64_t term = 1;
     std::uint64_t position = 0;
     std::string primary;
+    int unpromoted_commits = 0;    ///< At endpoints other than the primary.
     std::vector<std::string> log;  ///< Endpoint, statement id and text of each query that was run.
 };
 
@@ -46,6 +47,12 @@
     void refuse_next(std::string verb, std::string code);
     /// Waits before it runs the next statement with this verb.
     void delay_next(std::string verb, std::chrono::milliseconds delay);
+    /// While busy, it has no free slot for STATUS.
+    void set_busy(bool is_busy) { m_is_busy = is_busy; }
+    /// Behaves like a primary of this term that does not know its successor: it reports the role
+    /// and runs writes, until the platform promotes it.
+    void lead_without_promotion(std::uint64_t term) { m_former_term = term; }
+    void step_down() { m_former_term = 0; }
     /// Closes all connections and refuses new ones.
     void crash();
     [[nodiscard]] int connections() const { return m_accepted; }
@@ -78,6 +85,9 @@
     std::string success_response(const session& client_session, const std::string& rows) const;
     std::string error_response(session& client_session, const std::string& code) const;
     [[nodiscard]] std::string point() const;
+    /// True when it accepts writes; call with the group's lock held.
+    [[nodiscard]] bool leads() const { return m_group->primary == m_id || m_former_term > 0; }
+    [[nodiscard]] std::string status_row() const;
 
     std::shared_ptr<session_group_state> m_group;
     std::string m_group_name;
@@ -91,6 +101,8 @@
     boost::asio::io_context m_io;
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::list<connection> m_connections;
+    std::atomic<bool> m_is_busy = false;
+    std::atomic<std::uint64_t> m_former_term = 0;
     std::atomic<bool> m_crashed = false;
     std::atomic<int> m_accepted = 0;
     std::atomic<int> m_open_connections = 0;
--- /dev/null
+++ b/test/failover_agent_test.cc
@@ -0,0 +1,87 @@
+#include "proxy/failover_agent.h"
+
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <thread>
+
+#include "session_fleet.h"
+
+using namespace jasminelead::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+// A newly started host replaces no primary for some seconds.
+constexpr auto replacement_allowed_after = 8500ms;
+
+/// Writes until another endpoint than `old_primary` has answered, at most for `limit`.
+std::string write_until_replaced(caller& session, const std::string& old_primary,
+                                 std::chrono::milliseconds limit) {
+    const auto end = std::chrono::steady_clock::now() + limit;
+    std::string answer;
+    do {
+        std::this_thread::sleep_for(20ms);
+        answer = session.query("WRITE k v");
+    } while (std::chrono::steady_clock::now() < end &&
+             (!answer.starts_with("DONE") || answer.find(old_primary) != std::string::npos));
+    return answer;
+}
+
+}  // namespace
+
+// Guards against commits at a former primary that was not stepped down: it still reports its role,
+// so that its role does not show that the promotion has taken effect (rule ONE).
+TEST_CASE("a successor that already reports the role is used only after its promotion",
+          "[known-red]") {
+    fleet all;
+    all.set_term(4);
+    all.endpoint(1).lead_without_promotion(3);
+    std::this_thread::sleep_for(replacement_allowed_after);
+    all.delay_promotions(600ms);
+    caller pay{all.port(), "pay"};
+    all.list(all.endpoint(0), "primary", "draining");
+    const std::string answer = write_until_replaced(pay, "i-a", 6000ms);
+    CHECK(answer.find("signed-by-i-b") != std::string::npos);
+    CHECK(all.unpromoted_commits() == 0);
+    CHECK(all.promotions() == std::vector<std::string>{"i-b"});
+}
+
+// Guards against primaries that replace each other without end while the list of endpoints shows
+// roles late.
+TEST_CASE("a promoted endpoint that is listed as a replica is not replaced again", "[known-red]") {
+    fleet all;
+    std::this_thread::sleep_for(replacement_allowed_after);
+    caller pay{all.port(), "pay"};
+    all.list(all.endpoint(0), "primary", "draining");
+    write_until_replaced(pay, "i-a", 4000ms);
+    all.list(all.endpoint(0), "replica", "ready");
+    std::this_thread::sleep_for(4000ms);
+    CHECK(all.promotions().size() == 1);
+    CHECK(pay.query("WRITE k v").starts_with("DONE"));
+}
+
+// Guards against two promotions in progress: the first one may take effect after the second and
+// leave the group with a primary that no host knows (rule ONE).
+TEST_CASE("a promotion that takes effect late is awaited before another endpoint is promoted",
+          "[known-red]") {
+    fleet all;
+    std::this_thread::sleep_for(replacement_allowed_after);
+    all.delay_promotions(4500ms);
+    all.list_promotions();
+    caller pay{all.port(), "pay"};
+    all.list(all.endpoint(0), "primary", "draining");
+    while (all.promotions().empty()) {
+        std::this_thread::sleep_for(10ms);
+    }
+    all.endpoint(1).set_busy(true);
+    std::this_thread::sleep_for(4300ms);
+    all.endpoint(1).set_busy(false);
+    const auto end = std::chrono::steady_clock::now() + 6s;
+    std::string answer;
+    while (std::chrono::steady_clock::now() < end) {
+        answer = pay.query("WRITE k v");
+        std::this_thread::sleep_for(20ms);
+    }
+    CHECK(answer.starts_with("DONE"));
+    CHECK(all.unpromoted_commits() == 0);
+}
--- a/test/session_fleet.h
+++ b/test/session_fleet.h
@@ -1,13 +1,18 @@
 #pragma once
 
+#include <algorithm>
 #include <array>
+#include <atomic>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/streambuf.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
+#include <chrono>
 #include <istream>
+#include <list>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <thread>
 #include <vector>
@@ -96,9 +101,14 @@
         }
         m_platform.put("op/config", config_text(3, max_connections));
         m_platform.on_promotion([this](const std::string&, const std::string& id) {
-            const std::lock_guard lock{m_group->lock};
-            m_group->primary = id;
-            ++m_group->term;
+            {
+                const std::lock_guard lock{m_group->lock};
+                m_promotions.push_back(id);
+            }
+            m_effects.emplace_back([this, id, delay = m_promotion_delay.load()] {
+                std::this_thread::sleep_for(delay);
+                promote(id);
+            });
         });
         for (int host = 0; host < hosts; ++host) {
             start_host(host);
@@ -108,6 +118,40 @@
         }
     }
 
+    ~fleet() {
+        m_daemons.clear();
+        for (std::thread& effect : m_effects) {
+            effect.join();
+        }
+    }
+    fleet(const fleet&) = delete;
+    fleet& operator=(const fleet&) = delete;
+    fleet(fleet&&) = delete;
+    fleet& operator=(fleet&&) = delete;
+
+    /// Later promotions are answered at once and take effect after this time.
+    void delay_promotions(std::chrono::milliseconds delay) { m_promotion_delay = delay; }
+    /// The list of endpoints shows each promoted endpoint as the primary.
+    void list_promotions() { m_lists_promotions = true; }
+    void set_term(std::uint64_t term) {
+        const std::lock_guard lock{m_group->lock};
+        m_group->term = term;
+    }
+    /// Endpoints of the promotion calls, in their order.
+    [[nodiscard]] std::vector<std::string> promotions() {
+        const std::lock_guard lock{m_group->lock};
+        return m_promotions;
+    }
+    [[nodiscard]] std::string primary() {
+        const std::lock_guard lock{m_group->lock};
+        return m_group->primary;
+    }
+    /// Commits at endpoints that were not the promoted primary.
+    [[nodiscard]] int unpromoted_commits() {
+        const std::lock_guard lock{m_group->lock};
+        return m_group->unpromoted_commits;
+    }
+
     [[nodiscard]] std::uint16_t port(std::size_t host = 0) const { return m_daemons[host]->port(); }
     /// Where a host answers the requests of other hosts.
     [[nodiscard]] const std::string& peer_address(std::size_t host = 0) const {
@@ -136,6 +180,29 @@
     }
 
 private:
+    /// The former primary goes on for a second, or until it is told to step down.
+    void promote(const std::string& id) {
+        {
+            const std::lock_guard lock{m_group->lock};
+            if (m_group->primary == id) {
+                return;
+            }
+            find(m_group->primary).lead_without_promotion(m_group->term);
+            m_group->primary = id;
+            ++m_group->term;
+        }
+        if (m_lists_promotions) {
+            list(find(id), "primary", "ready");
+        }
+        std::this_thread::sleep_for(std::chrono::seconds{1});
+        for (const auto& endpoint : m_endpoints) {
+            endpoint->step_down();
+        }
+    }
+    session_endpoint& find(const std::string& id) {
+        return **std::find_if(m_endpoints.begin(), m_endpoints.end(),
+                              [&id](const auto& endpoint) { return endpoint->id() == id; });
+    }
     void start_host(int host) {
         proxy::settings options;
         options.host = host_id{"h" + std::to_string(host + 1)};
@@ -166,6 +233,10 @@
     duration m_stop_grace;
     std::shared_ptr<session_group_state> m_group = std::make_shared<session_group_state>();
     std::vector<std::unique_ptr<session_endpoint>> m_endpoints;
+    std::atomic<std::chrono::milliseconds> m_promotion_delay{};
+    std::atomic<bool> m_lists_promotions = false;
+    std::list<std::thread> m_effects;
+    std::vector<std::string> m_promotions;
     session_platform m_platform;
     std::vector<std::string> m_peer_addresses;
     std::vector<std::unique_ptr<proxy::session_daemon>> m_daemons;
