Take an endpoint for the primary only in the newest known term

Cause: any endpoint that reported the role of primary counted as promoted. A former primary that was not stepped down reports it too, with its own term. It was chosen as successor and used at once, before its promotion took effect; a takeover used it without a promotion.

Change: an endpoint leads if it reports the role in the newest term that the record or any candidate knows. A candidate that leads already, promoted by another host or in the primary's place under a new id, becomes the successor without a promotion, after all hosts have stopped using the old primary. A record that returns to the old primary keeps its term.

--- a/include/jasminelead/primary_replacement.h
+++ b/include/jasminelead/primary_replacement.h
@@ -5,6 +5,7 @@
 #include <span>
 
 #include "jasminelead/log_point.h"
+#include "jasminelead/promotion.h"
 #include "jasminelead/types.h"
 
 /// Decides when a primary is replaced and by which replica.
@@ -45,7 +46,8 @@
 
 struct successor_candidate {
     endpoint_id id;
-    log_point received;                      ///< End of its log.
+    log_point received;  ///< End of its log.
+    reported_role reported;
     std::size_t hosts_without = 0;           ///< Hosts that cannot connect to it.
     bool is_in_primary_data_centre = false;  ///< In the data centre of the current primary.
 };
@@ -54,6 +56,10 @@
 /// primary was promoted in `term` at `taken_over_at`.
 bool has_diverged(const log_point& received, term_number term, const log_point& taken_over_at);
 
+/// Index of a candidate that leads the group already.
+std::optional<std::size_t> find_leader(std::span<const successor_candidate> candidates,
+                                       term_number newest);
+
 /// Index of the candidate with the most complete log, preferring endpoints that most hosts reach.
 std::optional<std::size_t> choose_successor(std::span<const successor_candidate> candidates,
                                             std::size_t hosts);
--- a/include/jasminelead/promotion.h
+++ b/include/jasminelead/promotion.h
@@ -14,9 +14,9 @@
     term_number term = 0;
 };
 
-/// True if the endpoint has been promoted since `before` was the newest term.
-constexpr bool is_promoted_since(const reported_role& reported, term_number before) {
-    return reported.role == endpoint_role::primary && reported.term > before;
+/// True if the endpoint leads its group, in which `newest` is the newest known term.
+constexpr bool leads(const reported_role& reported, term_number newest) {
+    return reported.role == endpoint_role::primary && reported.term >= newest;
 }
 
 }  // namespace jasminelead
--- a/proxy/failover_agent.cc
+++ b/proxy/failover_agent.cc
@@ -273,6 +273,7 @@
         successor_candidate candidate;
         candidate.id = endpoint.entry.id;
         candidate.received = status->received;
+        candidate.reported = {status->role, status->term};
         candidate.hosts_without = hosts_without(group, candidate.id);
         candidate.is_in_primary_data_centre =
             old_pool != nullptr &&
--- a/proxy/failover_agent_replacement.cc
+++ b/proxy/failover_agent_replacement.cc
@@ -83,7 +83,9 @@
     current.may_be_promoted = known->phase == leadership_phase::changing;
     const revision_number before = known->revision;
     const auto candidates = ask_candidates(group, current.record, current.term);
-    const auto chosen = choose_successor(candidates, voters(group).size());
+    const auto leader = find_leader(candidates, current.term);
+    current.has_leader = leader.has_value();
+    const auto chosen = leader ? leader : choose_successor(candidates, voters(group).size());
     if (!chosen) {
         log_step(current, "choose_successor", "none_reachable");
         return std::nullopt;
@@ -145,17 +147,10 @@
     if (!current) {
         return false;
     }
-    if (current->may_be_promoted) {
-        const status_answer answer = query_status(m_fleet, current->record.successor);
-        log_status(group, "take_over", current->record.successor, answer);
-        const auto& status = answer.status;
-        if (status && status->role == endpoint_role::primary) {
-            current->term = status->term;
-            current->taken_over_at = status->received;
-            return write_primary(*current, current->record.successor);
-        }
-    }
     wait_until_primary_unused(*current);
+    if (current->has_leader) {
+        return wait_for_promotion(*current) && write_primary(*current, current->record.successor);
+    }
     if (boot_now() - current->marked_at > promotion_window) {
         // The next attempt writes a new mark, for which the wait has ended.
         log_step(*current, "promote", "mark_outdated");
@@ -299,7 +294,7 @@
     while (boot_now() < deadline) {
         answer = query_status(m_fleet, current.record.successor);
         const auto& status = answer.status;
-        if (status && status->role == endpoint_role::primary) {
+        if (status && leads({status->role, status->term}, current.term)) {
             log_status(current.group, "wait_until_leads", current.record.successor, answer);
             current.term = status->term;
             // No host writes before the record names the new primary, so its log still ends where
--- a/src/primary_replacement.cc
+++ b/src/primary_replacement.cc
@@ -53,6 +53,18 @@
     return received.term < term && received > taken_over_at;
 }
 
+/// It may have been promoted by another host or by an earlier attempt, or have taken the place of
+/// the primary at its address, with its term.
+std::optional<std::size_t> find_leader(std::span<const successor_candidate> candidates,
+                                       term_number newest) {
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        if (leads(candidates[i].reported, newest)) {
+            return i;
+        }
+    }
+    return std::nullopt;
+}
+
 std::optional<std::size_t> choose_successor(std::span<const successor_candidate> candidates,
                                             std::size_t hosts) {
     const auto rank = [hosts](const successor_candidate& candidate) {
--- a/test/failover_agent_test.cc
+++ b/test/failover_agent_test.cc
@@ -31,8 +31,7 @@
 
 // Guards against commits at a former primary that was not stepped down: it still reports its role,
 // so that its role does not show that the promotion has taken effect (rule ONE).
-TEST_CASE("a successor that already reports the role is used only after its promotion",
-          "[known-red]") {
+TEST_CASE("a successor that already reports the role is used only after its promotion") {
     fleet all;
     all.endpoint(1).lead_without_promotion(3);
     std::this_thread::sleep_for(replacement_allowed_after);
--- a/test/primary_replacement_test.cc
+++ b/test/primary_replacement_test.cc
@@ -18,7 +18,7 @@
 }
 
 successor_candidate candidate(const char* id, log_position received, std::size_t hosts_without) {
-    return {endpoint_id{id}, {3, received}, hosts_without, false};
+    return {endpoint_id{id}, {3, received}, {}, hosts_without, false};
 }
 
 }  // namespace
@@ -137,3 +137,17 @@
     CHECK(choose_successor(last, 6) == 0);
     CHECK_FALSE(choose_successor({}, 6));
 }
+
+// Guards against a former primary that is taken for the present one, and against the promotion of a
+// second endpoint when another host has promoted one.
+TEST_CASE("a candidate leads if it reports the role with the newest term") {
+    auto former = candidate("a", 20, 0);
+    former.reported = {endpoint_role::primary, 4};
+    auto replica = candidate("b", 20, 0);
+    replica.reported = {endpoint_role::replica, 6};
+    auto promoted = candidate("c", 10, 0);
+    promoted.reported = {endpoint_role::primary, 6};
+    CHECK_FALSE(find_leader(std::array{former, replica}, 6));
+    CHECK(find_leader(std::array{former, replica, promoted}, 6) == 2);
+    CHECK_FALSE(find_leader(std::array{former, replica, promoted}, 7));
+}
