Promote no other endpoint while a sent promotion may take effect

Cause: a promotion without an effect for 3 s was forgotten, and the next attempt could choose another endpoint. The platform executes the first call when it gets to it; nothing can be read back.

Change: a promotion that was sent, or may have been by the writer of a known mark, is pending until its effect is seen, a record ends it, or it has settled (5 s after the call; 3.5 s more for another process's mark). Meanwhile the same endpoint is promoted again, which changes nothing if it leads. An accepted promotion is waited for until it has settled. The pause of 0.3 s for a restarted process is covered as well. Stepping endpoints down instead was ruled out: it does not stop a late call.

--- a/include/jasminelead/primary_replacement.h
+++ b/include/jasminelead/primary_replacement.h
@@ -61,7 +61,9 @@
                                        term_number newest);
 
 /// Index of the candidate with the most complete log, preferring endpoints that most hosts reach.
+/// An endpoint whose promotion is pending comes first, because its promotion cannot be withdrawn.
 std::optional<std::size_t> choose_successor(std::span<const successor_candidate> candidates,
-                                            std::size_t hosts);
+                                            std::size_t hosts,
+                                            const std::optional<endpoint_id>& pending);
 
 }  // namespace jasminelead
--- a/proxy/failover_agent.cc
+++ b/proxy/failover_agent.cc
@@ -49,7 +49,7 @@
 }
 
 void failover_agent::check_groups() {
-    record_starts();
+    record_changes();
     if (m_promotion_address.empty()) {
         return;
     }
@@ -290,9 +290,13 @@
            is_replacement_known(*granters, m_sync.records().granters_known_for(boot_now()), hosts);
 }
 
-void failover_agent::record_starts() {
+void failover_agent::record_changes() {
+    const instant now = boot_now();
     for (const auto& [group, record] : m_fleet.lease.records()) {
-        m_starts.record(group, record, boot_now());
+        const bool is_own = record.changed_by == m_self &&
+                            record.changed_by_incarnation == m_sync.own_record().incarnation;
+        m_starts.record(group, record, now);
+        m_pending.on_record(group, record, is_own, now);
     }
 }
 
--- a/proxy/failover_agent.h
+++ b/proxy/failover_agent.h
@@ -8,6 +8,7 @@
 
 #include "jasminelead/fleet_quorum.h"
 #include "jasminelead/primary_replacement.h"
+#include "jasminelead/promotion.h"
 #include "jasminelead/replacement_starts.h"
 #include "platform/promotion_client.h"
 #include "platform/wire.h"
@@ -44,8 +45,9 @@
         bool has_all_hosts = false;                   ///< `hosts` was read after the mark.
         /// When a replacement quorum of the granters was first found to know the mark.
         std::optional<instant> known_since;
-        bool has_stepped_down = false;  ///< The old primary became a replica.
-        bool may_be_promoted = false;   ///< A promotion may have been executed.
+        bool has_stepped_down = false;       ///< The old primary became a replica.
+        bool may_be_promoted = false;        ///< A promotion may have been executed.
+        std::optional<instant> accepted_at;  ///< When a promotion was sent that was accepted.
     };
 
     void run();
@@ -85,7 +87,7 @@
     /// Hosts that have acknowledged the mark.
     std::set<host_id> acknowledging_hosts(const replacement_run& current) const;
     [[nodiscard]] bool is_replacement_quorum(const std::set<host_id>& hosts) const;
-    void record_starts();
+    void record_changes();
     void wait_until_primary_unused(replacement_run& current);
     [[nodiscard]] bool has_stopped_using_primary(const replacement_run& current,
                                                  const host_id& host) const;
@@ -106,6 +108,7 @@
     std::string m_promotion_address;
     std::set<group_id> m_running;
     replacement_starts m_starts;
+    pending_promotions m_pending;
     /// When a replacement became due, by group and revision of its record.
     std::map<std::pair<group_id, revision_number>, instant> m_due_since;
     bool m_stopped = false;
--- a/proxy/failover_agent_replacement.cc
+++ b/proxy/failover_agent_replacement.cc
@@ -13,8 +13,6 @@
 
 // Pause between two attempts of this host to replace a primary.
 constexpr duration attempt_pause = 150_ms;
-// A promotion is sent only within this time after its mark was sent to the store.
-constexpr duration promotion_window = 3500_ms;
 constexpr duration clock_margin = 50_ms;
 constexpr duration promotion_timeout = 800_ms;
 constexpr duration store_timeout = 1_s;
@@ -85,11 +83,17 @@
     const auto candidates = ask_candidates(group, current.record, current.term);
     const auto leader = find_leader(candidates, current.term);
     current.has_leader = leader.has_value();
-    const auto chosen = leader ? leader : choose_successor(candidates, voters(group).size());
+    const auto chosen = leader ? leader
+                               : choose_successor(candidates, voters(group).size(),
+                                                  m_pending.successor(group, boot_now()));
     if (!chosen) {
         log_step(current, "choose_successor", "none_reachable");
         return std::nullopt;
     }
+    if (!m_pending.may_promote(group, candidates[*chosen].id, boot_now())) {
+        log_step(current, "choose_successor", "promotion_pending");
+        return std::nullopt;
+    }
     if (m_fleet.lease.record(group)->revision != before) {
         return std::nullopt;
     }
@@ -104,7 +108,7 @@
     if (!write_record(current, record)) {
         return std::nullopt;
     }
-    record_starts();
+    record_changes();
     log_step(current, "mark", "written");
     // The read also finds hosts that registered just before the mark.
     current.has_all_hosts = m_sync.confirm();
@@ -284,29 +288,48 @@
     log_step(current, "promote", platform::to_string(answer), sent);
     const bool may_run = answer == platform::promotion_answer::accepted ||
                          answer == platform::promotion_answer::unknown;
-    current.may_be_promoted = current.may_be_promoted || may_run;
+    if (answer == platform::promotion_answer::accepted) {
+        current.accepted_at = sent;
+    }
+    if (may_run) {
+        current.may_be_promoted = true;
+        m_pending.on_sent(current.group, current.record.successor, sent);
+    }
     return may_run;
 }
 
+/// An accepted promotion has taken effect when it has settled, whatever the term: endpoints that
+/// lost their logs may count terms anew.
 bool failover_agent::wait_for_promotion(replacement_run& current) {
-    const instant deadline = boot_now() + takeover_timeout;
-    status_answer answer;
-    while (boot_now() < deadline) {
-        answer = query_status(m_fleet, current.record.successor);
-        const auto& status = answer.status;
-        if (status && leads({status->role, status->term}, current.term)) {
-            log_status(current.group, "wait_until_leads", current.record.successor, answer);
-            current.term = status->term;
+    const endpoint_id& successor = current.record.successor;
+    const instant give_up = current.accepted_at ? *current.accepted_at + promotion_settle_time
+                                                : boot_now() + takeover_timeout;
+    for (;;) {
+        const bool is_over = boot_now() >= give_up;
+        const status_answer answer = query_status(m_fleet, successor);
+        const reported_role reported = answer.status
+                                           ? reported_role{answer.status->role, answer.status->term}
+                                           : reported_role{};
+        const bool has_settled = current.accepted_at && is_over;
+        const bool is_effective = leads(reported, current.term) ||
+                                  (has_settled && reported.role == endpoint_role::primary);
+        if (is_effective || is_over) {
+            log_status(current.group, "wait_until_leads", successor, answer);
+        }
+        if (is_effective) {
+            m_pending.on_effect(current.group, successor);
+            current.term = answer.status->term;
             // No host writes before the record names the new primary, so its log still ends where
             // it took over.
-            current.taken_over_at = status->received;
+            current.taken_over_at = answer.status->received;
             return true;
         }
+        if (is_over) {
+            log_step(current, "wait_until_leads", "timeout");
+            return false;
+        }
         pause(poll_interval);
     }
-    log_status(current.group, "wait_until_leads", current.record.successor, answer);
-    log_step(current, "wait_until_leads", "timeout");
-    return false;
 }
 
 bool failover_agent::write_primary(replacement_run& current, const endpoint_id& primary) {
--- a/src/primary_replacement.cc
+++ b/src/primary_replacement.cc
@@ -66,10 +66,11 @@
 }
 
 std::optional<std::size_t> choose_successor(std::span<const successor_candidate> candidates,
-                                            std::size_t hosts) {
-    const auto rank = [hosts](const successor_candidate& candidate) {
-        return std::tuple{!is_majority(candidate.hosts_without, hosts), candidate.received,
-                          candidate.is_in_primary_data_centre};
+                                            std::size_t hosts,
+                                            const std::optional<endpoint_id>& pending) {
+    const auto rank = [&](const successor_candidate& candidate) {
+        return std::tuple{candidate.id == pending, !is_majority(candidate.hosts_without, hosts),
+                          candidate.received, candidate.is_in_primary_data_centre};
     };
     std::optional<std::size_t> best;
     for (std::size_t i = 0; i < candidates.size(); ++i) {
--- a/test/failover_agent_test.cc
+++ b/test/failover_agent_test.cc
@@ -60,8 +60,7 @@
 
 // Guards against two promotions in progress: the first one may take effect after the second and
 // leave the group with a primary that no host knows (rule ONE).
-TEST_CASE("a promotion that takes effect late is awaited before another endpoint is promoted",
-          "[known-red]") {
+TEST_CASE("a promotion that takes effect late is awaited before another endpoint is promoted") {
     fleet all;
     std::this_thread::sleep_for(replacement_allowed_after);
     all.delay_promotions(4500ms);
--- a/test/primary_replacement_test.cc
+++ b/test/primary_replacement_test.cc
@@ -113,7 +113,7 @@
 // Guards against losing commits that another replica has.
 TEST_CASE("the replica with the most complete log is promoted") {
     const std::array all{candidate("a", 10, 0), candidate("b", 12, 2), candidate("c", 11, 0)};
-    CHECK(choose_successor(all, 6) == 1);
+    CHECK(choose_successor(all, 6, std::nullopt) == 1);
 }
 
 // Guards against rolled-back commits that reappear. A primary is partitioned together with one
@@ -132,10 +132,18 @@
 // Guards against a successor that most hosts cannot reach and that is replaced again at once.
 TEST_CASE("a replica that most hosts cannot reach is promoted only if no other is left") {
     const std::array all{candidate("a", 10, 0), candidate("b", 12, 4)};
-    CHECK(choose_successor(all, 6) == 0);
+    CHECK(choose_successor(all, 6, std::nullopt) == 0);
     const std::array last{candidate("b", 12, 4)};
-    CHECK(choose_successor(last, 6) == 0);
-    CHECK_FALSE(choose_successor({}, 6));
+    CHECK(choose_successor(last, 6, std::nullopt) == 0);
+    CHECK_FALSE(choose_successor({}, 6, std::nullopt));
+}
+
+// Guards against a second promotion while the first one may still take effect.
+TEST_CASE("an endpoint whose promotion is pending is chosen again") {
+    const std::array all{candidate("a", 20, 0), candidate("b", 10, 5)};
+    CHECK(choose_successor(all, 6, std::nullopt) == 0);
+    CHECK(choose_successor(all, 6, endpoint_id{"b"}) == 1);
+    CHECK(choose_successor(all, 6, endpoint_id{"c"}) == 0);
 }
 
 // Guards against a former primary that is taken for the present one, and against the promotion of a
