Wait for processes that registered just before the mark

Cause: the incarnation of each host that was known before the mark was kept. A process that restarted and registered before the mark, which the replacing host learned only after it, counted as one that never used the primary.

Change: the hosts that may use the old primary are those that a reading of the store after the mark shows, with the incarnations of that reading.

--- a/proxy/failover_agent.h
+++ b/proxy/failover_agent.h
@@ -8,6 +8,7 @@
 
 #include "jasminelead/fleet_quorum.h"
 #include "jasminelead/primary_replacement.h"
+#include "jasminelead/primary_users.h"
 #include "jasminelead/promotion.h"
 #include "jasminelead/replacement_starts.h"
 #include "platform/promotion_client.h"
@@ -40,9 +41,9 @@
         bool has_leader = false;  ///< The successor leads already.
         std::optional<log_point> taken_over_at;  ///< End of the successor's log.
         replacement kind = replacement::none;
-        instant marked_at;                            ///< When the mark was sent to the store.
-        std::map<host_id, incarnation_number> hosts;  ///< Hosts that may use the old primary.
-        bool has_all_hosts = false;                   ///< `hosts` was read after the mark.
+        instant marked_at;           ///< When the mark was sent to the store.
+        primary_users users;         ///< Of the old primary.
+        bool has_all_hosts = false;  ///< `users` was read after the mark.
         /// When a replacement quorum of the granters was first found to know the mark.
         std::optional<instant> known_since;
         bool has_stepped_down = false;       ///< The old primary became a replica.
@@ -74,7 +75,8 @@
     [[nodiscard]] bool has_lost_role(const group_id& group) const;
     /// True when the record names a primary again.
     bool try_replace(const group_id& group, replacement kind);
-    void add_registered_hosts(replacement_run& current);
+    /// Reads the hosts that may use the old primary from the store. Call after the mark.
+    void read_users(replacement_run& current);
     /// Chooses a successor and marks the group's record as changing.
     std::optional<replacement_run> write_mark(const group_id& group, replacement kind);
     std::vector<successor_candidate> ask_candidates(const group_id& group,
--- a/proxy/failover_agent_replacement.cc
+++ b/proxy/failover_agent_replacement.cc
@@ -97,7 +97,6 @@
     if (m_fleet.lease.record(group)->revision != before) {
         return std::nullopt;
     }
-    add_registered_hosts(current);
     group_record record = current.record;
     if (record.phase == leadership_phase::led) {
         record.replaced_revision = record.revision;
@@ -110,16 +109,16 @@
     }
     record_changes();
     log_step(current, "mark", "written");
-    // The read also finds hosts that registered just before the mark.
-    current.has_all_hosts = m_sync.confirm();
-    add_registered_hosts(current);
+    read_users(current);
     return current;
 }
 
-void failover_agent::add_registered_hosts(replacement_run& current) {
+void failover_agent::read_users(replacement_run& current) {
+    const bool is_complete = m_sync.confirm();
     for (const auto& [host, record] : m_sync.records().hosts()) {
-        current.hosts.emplace(host, record.incarnation);
+        current.users.add(host, record.incarnation);
     }
+    current.has_all_hosts = is_complete;
 }
 
 /// The list of endpoints shows a role up to some seconds late, so that it is not proof of a lost
@@ -179,10 +178,9 @@
     if (m_sync.records().stopped(current.group, host) >= current.record.revision) {
         return true;
     }
-    // A process that started after the mark has never used the old primary.
     const auto present = m_sync.records().hosts().find(host);
     return present != m_sync.records().hosts().end() &&
-           present->second.incarnation != current.hosts.at(host);
+           current.users.has_restarted(host, present->second.incarnation);
 }
 
 /// Returns when no daemon can use the old primary any more: all have acknowledged the mark, or
@@ -192,8 +190,7 @@
     do {
         m_fleet.changed.wait(to_steady(boot_now() + unused_poll_interval));
         if (!current.has_all_hosts) {
-            current.has_all_hosts = m_sync.confirm();
-            add_registered_hosts(current);
+            read_users(current);
         }
         progress = stop_progress(current);
     } while (!is_primary_unused(progress));
@@ -210,10 +207,12 @@
         current.known_since = now;
     }
     primary_stop_progress progress;
-    progress.registered = current.hosts.size();
-    progress.stopped = static_cast<std::size_t>(std::count_if(
-        current.hosts.begin(), current.hosts.end(),
-        [&](const auto& host) { return has_stopped_using_primary(current, host.first); }));
+    const auto& users = current.users.hosts();
+    progress.registered = users.size();
+    progress.stopped =
+        static_cast<std::size_t>(std::count_if(users.begin(), users.end(), [&](const auto& user) {
+            return has_stopped_using_primary(current, user.first);
+        }));
     progress.knows_all_hosts = m_sync.knows_removed_hosts(now);
     if (current.known_since) {
         progress.since_known = now - *current.known_since;
@@ -225,7 +224,7 @@
 
 std::set<host_id> failover_agent::acknowledging_hosts(const replacement_run& current) const {
     std::set<host_id> result{m_self};
-    for (const auto& [host, incarnation] : current.hosts) {
+    for (const auto& [host, incarnation] : current.users.hosts()) {
         if (m_sync.records().stopped(current.group, host) >= current.record.revision) {
             result.insert(host);
         }
