Ask a busy old primary again before it is passed over

Cause: an old primary whose slots are all in use answers STATUS with BUSY. That counted as silence, so that it was not stepped down and its log was not handed over.

--- a/proxy/failover_agent.h
+++ b/proxy/failover_agent.h
@@ -82,6 +82,8 @@
     std::vector<successor_candidate> ask_candidates(const group_id& group,
                                                     const group_record& record,
                                                     term_number& term) const;
+    /// Asks until the endpoint has a free slot, at most until `deadline`.
+    status_answer query_status_until(const endpoint_id& endpoint, instant deadline) const;
     void log_due(const group_id& group, const group_record& record, const primary_health& health,
                  replacement kind, bool only_by_role);
     /// Also records when a replacement quorum is found to know the mark.
--- a/proxy/failover_agent_replacement.cc
+++ b/proxy/failover_agent_replacement.cc
@@ -232,13 +232,24 @@
     return result;
 }
 
+status_answer failover_agent::query_status_until(const endpoint_id& endpoint,
+                                                 instant deadline) const {
+    status_answer answer = query_status(m_fleet, endpoint);
+    while (answer.is_busy && boot_now() < deadline) {
+        pause(poll_interval);
+        answer = query_status(m_fleet, endpoint);
+    }
+    return answer;
+}
+
 /// Lets the successor receive the old primary's log for at most `log_handover_timeout`, then makes
 /// the old primary a replica. Skipped when the old primary does not answer; one that this host
 /// cannot reach is not asked, because callers wait for the new primary meanwhile.
 void failover_agent::hand_over_log(replacement_run& current) {
     const auto pool = m_fleet.pool(current.old_primary);
     const bool may_answer = pool && pool->health().is_reachable();
-    const status_answer answer = may_answer ? query_status(m_fleet, current.old_primary)
+    const instant deadline = boot_now() + log_handover_timeout;
+    const status_answer answer = may_answer ? query_status_until(current.old_primary, deadline)
                                             : status_answer{std::nullopt, "passed_over"};
     log_status(current.group, "hand_over_log", current.old_primary, answer);
     const auto& last = answer.status;
@@ -246,7 +257,6 @@
         log_step(current, "hand_over_log", "old_primary_silent");
         return;
     }
-    const instant deadline = boot_now() + log_handover_timeout;
     bool complete = false;
     while (!complete && boot_now() < deadline) {
         const auto status = query_status(m_fleet, current.record.successor).status;
--- a/proxy/status_query.cc
+++ b/proxy/status_query.cc
@@ -39,7 +39,8 @@
     }
     const auto& received = std::get<endpoint_answer>(answer);
     if (received.fault) {
-        return {std::nullopt, to_string(*received.fault)};
+        const bool is_busy = *received.fault == statement_fault::busy;
+        return {std::nullopt, to_string(*received.fault), is_busy};
     }
     const auto status = platform::decode_status_rows(received.rows);
     return {status, status ? "" : "unreadable"};
--- a/proxy/status_query.h
+++ b/proxy/status_query.h
@@ -12,6 +12,7 @@
 struct status_answer {
     std::optional<platform::endpoint_status> status;
     std::string_view fault;  ///< Why there is no status.
+    bool is_busy = false;    ///< The endpoint answered that it has no free slot.
 };
 
 /// Suspends the fiber. `text` is a command that is answered with the endpoint's status.
