--- a/test/session_fleet.h
+++ b/test/session_fleet.h
@@ -7,6 +7,7 @@
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <istream>
+#include <map>
 #include <memory>
 #include <string>
 #include <thread>
@@ -85,8 +86,13 @@
 /// A simulated platform with one group of three endpoints, and session daemons in front of it.
 class fleet {
 public:
-    explicit fleet(int hosts = 1, int max_connections = 8, duration stop_grace = 400_ms)
+    /// `entries` are in the store before the hosts start.
+    explicit fleet(int hosts = 1, int max_connections = 8, duration stop_grace = 400_ms,
+                   const std::map<std::string, std::string>& entries = {})
         : m_stop_grace{stop_grace} {
+        for (const auto& [key, value] : entries) {
+            m_platform.put(key, value);
+        }
         for (const char* id : {"i-a", "i-b", "i-c"}) {
             m_endpoints.push_back(std::make_unique<session_endpoint>(m_group, "shows", id));
         }
