Treat an unreadable entry as one that names no endpoint

An endpoint whose entry another writer had overwritten stayed in use for good. It is now removed like one whose entry was deleted: after 2.5 s, unless the entry is readable again by then. An immediate removal was ruled out: the endpoint itself is most likely alive and writes its entry again.

The same cause in the records of the hosts: - An acknowledgement of stopped use was read with strtoull: "-1" and numbers too large covered every later mark, so that a successor could be promoted while the host still used the old primary. It must be a decimal number below the revision at which it was written. - A host record could name another host than its key, which revoked that host's lease on every confirmation, and a lease of any length, for which a replacement would wait. - An entry that names another service under a known id kept the connections. Each unreadable record is counted by kind and by reason, and a line names its key and the reason.

--- a/proxy/fleet_state.cc
+++ b/proxy/fleet_state.cc
@@ -47,9 +47,10 @@
     if (pool && pool->endpoint() == endpoint) {
         return;
     }
-    // A restarted or moved process has none of the old connections.
+    // A restarted or moved process, or one of another service, has none of the old connections.
     const bool is_same_process = pool && pool->endpoint().started_ms == endpoint.started_ms &&
-                                 pool->endpoint().entry.address == endpoint.entry.address;
+                                 pool->endpoint().entry.address == endpoint.entry.address &&
+                                 pool->endpoint().entry.group == endpoint.entry.group;
     if (pool && !is_same_process) {
         pool->retire();
         pool = nullptr;
--- a/proxy/json_fields.cc
+++ b/proxy/json_fields.cc
@@ -6,6 +6,12 @@
 namespace jasminelead::proxy {
 
 namespace json = boost::json;
+namespace {
+
+// Whole numbers up to this one have an exact representation as double.
+constexpr double max_exact_double = 9007199254740992.0;
+
+}  // namespace
 
 std::optional<json::object> parse_object(std::string_view text) {
     json::parse_options options;
@@ -18,9 +24,10 @@
     return std::move(value.get_object());
 }
 
+/// The conversion of a double above the exact range could be undefined.
 std::optional<std::uint64_t> number_of(const json::object& object, std::string_view name) {
     const json::value* const value = object.if_contains(name);
-    if (value == nullptr) {
+    if (value == nullptr || (value->is_double() && value->get_double() > max_exact_double)) {
         return std::nullopt;
     }
     boost::system::error_code error;
--- a/proxy/own_records.cc
+++ b/proxy/own_records.cc
@@ -1,6 +1,7 @@
 #include "proxy/own_records.h"
 
 #include <boost/json/serialize.hpp>
+#include <charconv>
 #include <cmath>
 
 #include "proxy/json_fields.h"
@@ -18,6 +19,9 @@
 constexpr std::string_view granters_name = "jasminelead/fleet/granters";
 
 constexpr std::uint64_t milli = 1000;
+// A replacement of a primary waits for the longest lease of all hosts. The leases of all builds are
+// shorter than two seconds.
+constexpr duration max_lease_length = duration::from_ms(60'000);
 
 std::uint64_t cpu_milli(double cpu_share) {
     return static_cast<std::uint64_t>(std::lround(cpu_share * milli));
@@ -171,6 +175,17 @@
     }
     record.asks_granters = flag_of(*object, "asks_granters");
     record.lease_length = duration_of(*object, "lease_us").value_or(unstated_lease_length);
+    if (record.lease_length > max_lease_length) {
+        return std::nullopt;
+    }
+    return record;
+}
+
+std::optional<host_record> decode_host_record(std::string_view key, std::string_view text) {
+    auto record = decode_host_record(text);
+    if (!record || host_of_key(key) != record->host) {
+        return std::nullopt;
+    }
     return record;
 }
 
@@ -205,4 +220,16 @@
     return stopped_use_prefix(group) + host.str();
 }
 
+/// A host acknowledges a mark that it has read, so the mark's revision is lower. A larger number
+/// would also acknowledge marks that nobody has written yet.
+std::optional<revision_number> decode_stopped_use(std::string_view text, revision_number written) {
+    revision_number revision = 0;
+    const char* const end = text.data() + text.size();
+    const auto [rest, status] = std::from_chars(text.data(), end, revision);
+    if (status != std::errc{} || rest != end || revision >= written) {
+        return std::nullopt;
+    }
+    return revision;
+}
+
 }  // namespace jasminelead::proxy
--- a/proxy/own_records.h
+++ b/proxy/own_records.h
@@ -45,7 +45,10 @@
 std::string host_key(const host_id& host);
 std::optional<host_id> host_of_key(std::string_view key);
 std::string encode_host_record(const host_record& record);
+/// Empty when the text is not a complete record, or states an implausibly long lease.
 std::optional<host_record> decode_host_record(std::string_view text);
+/// Empty also when the key is not that of the host which the text names.
+std::optional<host_record> decode_host_record(std::string_view key, std::string_view text);
 
 std::string granters_key();
 std::string encode_granters(const granter_set& granters);
@@ -60,5 +63,8 @@
 std::string stopped_use_prefix(const group_id& group);
 bool is_stopped_use_key(std::string_view key);
 std::string stopped_use_key(const group_id& group, const host_id& host);
+/// The revision up to which the old primary is no longer used, of an acknowledgement written at
+/// `written`. Empty when the text is not a decimal number, or is not below `written`.
+std::optional<revision_number> decode_stopped_use(std::string_view text, revision_number written);
 
 }  // namespace jasminelead::proxy
--- a/proxy/record_mirror.cc
+++ b/proxy/record_mirror.cc
@@ -1,7 +1,6 @@
 #include "proxy/record_mirror.h"
 
 #include <algorithm>
-#include <cstdlib>
 
 #include "platform/records.h"
 #include "proxy/clock.h"
@@ -12,10 +11,14 @@
 
 using namespace literals;
 
-// Entries that expired during a store outage are written again within about 2 s.
+// Entries that expired during a store outage are written again within about 2 s. An entry that
+// another writer has overwritten gets the same time to be written again.
 constexpr duration unlisted_endpoint_grace = 2500_ms;
 // Deletions are kept for peers that could not reach the store for some time.
 constexpr std::size_t max_tombstones = 1000;
+// Reasons why a record of the hosts cannot be used.
+constexpr std::string_view malformed = "malformed";
+constexpr std::string_view deleted = "deleted";
 
 }  // namespace
 
@@ -57,27 +60,36 @@
                              const std::optional<std::string>& value) {
     if (key == platform::config_key) {
         if (value) {
-            apply_config(*value);
+            apply_config(key, *value);
         }
     } else if (key.starts_with(platform::endpoint_prefix)) {
         apply_endpoint(key, value);
     } else if (key == granters_key()) {
         apply_granters(revision, value);
     } else if (const auto host = host_of_key(key)) {
-        apply_host(*host, value);
+        apply_host(*host, key, value);
     } else if (const auto group = group_of_key(key)) {
-        auto record = value ? decode_group_record(*value) : std::nullopt;
-        if (record) {
-            record->revision = revision;
-            apply_group(*group, *record);
+        if (value) {
+            apply_group_text(*group, key, revision, *value);
         }
     } else if (const auto alive = host_of_alive_key(key)) {
         apply_alive(*alive, value.has_value());
-    } else if (is_stopped_use_key(key)) {
-        apply_stopped(key, value);
+    } else if (is_stopped_use_key(key) && value) {
+        apply_stopped(key, revision, *value);
     }
 }
 
+/// Each revision of a key is dispatched once, so that an odd record gives one line.
+void record_mirror::report_unreadable(std::string_view kind, const std::string& key,
+                                      std::string_view why) {
+    m_counters.count("unreadable_records", kind);
+    m_counters.count("unreadable_record_faults", why);
+    log_line{log_class::change, std::string{kind} + "_unreadable"}
+        .with("key", key)
+        .with("reason", why)
+        .write();
+}
+
 std::vector<platform::store_change> record_mirror::changes_since(revision_number since) const {
     std::vector<platform::store_change> changes;
     for (auto at = m_keys_by_revision.lower_bound({since + 1, {}}); at != m_keys_by_revision.end();
@@ -110,11 +122,10 @@
     advance_complete_up_to(revision);
 }
 
-void record_mirror::apply_config(const std::string& value) {
+void record_mirror::apply_config(const std::string& key, const std::string& value) {
     auto decoded = platform::decode_config(value);
     if (!decoded) {
-        m_counters.count("unreadable_records", "configuration");
-        log_line{log_class::change, "configuration_unreadable"}.with("bytes", value.size()).write();
+        report_unreadable("configuration", key, platform::to_string(decoded.fault));
         return;
     }
     const revision_number before = m_fleet.config.version();
@@ -129,6 +140,7 @@
     m_fleet.on_config();
 }
 
+/// An entry that cannot be read names no endpoint to use, as if it had been deleted.
 void record_mirror::apply_endpoint(const std::string& key,
                                    const std::optional<std::string>& value) {
     const endpoint_id id{key.substr(platform::endpoint_prefix.size())};
@@ -138,14 +150,26 @@
     }
     const auto endpoint = platform::decode_endpoint(key, *value);
     if (!endpoint) {
-        m_counters.count("unreadable_records", "endpoint");
-        log_line{log_class::change, "endpoint_unreadable"}.with("endpoint", id).write();
+        report_unreadable("endpoint", key, platform::to_string(endpoint.fault));
+        m_unlisted_since.emplace(id, boot_now());
         return;
     }
     m_unlisted_since.erase(id);
     m_fleet.put_endpoint(*endpoint);
 }
 
+/// An unreadable record changes nothing: the last known one stays in force.
+void record_mirror::apply_group_text(const group_id& group, const std::string& key,
+                                     revision_number revision, const std::string& value) {
+    auto record = decode_group_record(value);
+    if (!record) {
+        report_unreadable("group", key, malformed);
+        return;
+    }
+    record->revision = revision;
+    apply_group(group, *record);
+}
+
 void record_mirror::apply_group(const group_id& group, const group_record& record) {
     if (!m_fleet.lease.apply(group, record)) {
         return;
@@ -217,8 +241,12 @@
 
 /// A host whose registration was removed may use primaries until the granters no longer confirm its
 /// leases, so it stays in `hosts` until then.
-void record_mirror::apply_host(const host_id& host, const std::optional<std::string>& value) {
-    auto record = value ? decode_host_record(*value) : std::nullopt;
+void record_mirror::apply_host(const host_id& host, const std::string& key,
+                               const std::optional<std::string>& value) {
+    auto record = value ? decode_host_record(key, *value) : std::nullopt;
+    if (value && !record) {
+        report_unreadable("host", key, malformed);
+    }
     if (record) {
         m_hosts[host] = std::move(*record);
         m_liveness.on_registered(host, boot_now());
@@ -233,7 +261,7 @@
                                    const std::optional<std::string>& value) {
     auto granters = value ? decode_granters(*value) : std::nullopt;
     if (!granters) {
-        m_counters.count("unreadable_records", "granters");
+        report_unreadable("granters", granters_key(), value ? malformed : deleted);
         return;
     }
     granters->revision = revision;
@@ -251,16 +279,25 @@
                        [](const auto& item) { return item.second.asks_granters; });
 }
 
-void record_mirror::apply_stopped(const std::string& key, const std::optional<std::string>& value) {
-    revision_number& known = m_stopped_use[key];
-    const revision_number reported = value ? std::strtoull(value->c_str(), nullptr, 10) : 0;
-    known = std::max(known, reported);
-    m_fleet.changed.notify_all();
+void record_mirror::apply_stopped(const std::string& key, revision_number revision,
+                                  const std::string& value) {
+    const auto reported = decode_stopped_use(value, revision);
+    if (!reported) {
+        report_unreadable("stopped_use", key, malformed);
+        return;
+    }
+    raise_stopped_use(key, *reported);
 }
 
 void record_mirror::record_stopped_use(const group_id& group, const host_id& host,
                                        revision_number revision) {
-    apply_stopped(stopped_use_key(group, host), std::to_string(revision));
+    raise_stopped_use(stopped_use_key(group, host), revision);
+}
+
+void record_mirror::raise_stopped_use(const std::string& key, revision_number reported) {
+    revision_number& known = m_stopped_use[key];
+    known = std::max(known, reported);
+    m_fleet.changed.notify_all();
 }
 
 revision_number record_mirror::stopped(const group_id& group, const host_id& host) const {
--- a/proxy/record_mirror.h
+++ b/proxy/record_mirror.h
@@ -34,7 +34,7 @@
     /// Call after a complete listing that began at `revision` and contained the keys `seen` was
     /// applied. Deletes the older records that it did not contain.
     void complete_listing(const std::set<std::string>& seen, revision_number revision);
-    /// Removes endpoints and hosts whose records were deleted longer ago than the grace time.
+    /// Removes endpoints and hosts that have had no readable record for the grace time.
     void remove_expired();
 
     /// Changes after the revision, oldest first.
@@ -73,12 +73,17 @@
     };
     void dispatch(const std::string& key, revision_number revision,
                   const std::optional<std::string>& value);
-    void apply_config(const std::string& value);
+    void report_unreadable(std::string_view kind, const std::string& key, std::string_view why);
+    void apply_config(const std::string& key, const std::string& value);
     void apply_endpoint(const std::string& key, const std::optional<std::string>& value);
     void apply_alive(const host_id& host, bool is_alive);
-    void apply_host(const host_id& host, const std::optional<std::string>& value);
+    void apply_host(const host_id& host, const std::string& key,
+                    const std::optional<std::string>& value);
+    void apply_group_text(const group_id& group, const std::string& key, revision_number revision,
+                          const std::string& value);
     void apply_granters(revision_number revision, const std::optional<std::string>& value);
-    void apply_stopped(const std::string& key, const std::optional<std::string>& value);
+    void apply_stopped(const std::string& key, revision_number revision, const std::string& value);
+    void raise_stopped_use(const std::string& key, revision_number reported);
     void remove_expired_endpoints(instant now);
     void remove_expired_hosts(instant now);
     void drop_tombstones();
@@ -93,7 +98,7 @@
     host_liveness m_liveness;
     std::optional<granter_set> m_granters;
     instant m_granters_since;
-    std::map<endpoint_id, instant> m_unlisted_since;       ///< Endpoints whose entry was deleted.
+    std::map<endpoint_id, instant> m_unlisted_since;       ///< Endpoints without a readable entry.
     std::map<std::string, revision_number> m_stopped_use;  ///< By key.
     revision_number m_revision = 0;
     revision_number m_complete_up_to = 0;
--- a/proxy/store_sync.cc
+++ b/proxy/store_sync.cc
@@ -129,8 +129,7 @@
     m_confirmed_hosts_version.reset();
     for (const platform::store_item& item : items) {
         m_mirror.apply(to_change(item));
-        const auto host = host_of_key(item.key) ? decode_host_record(item.value) : std::nullopt;
-        if (host) {
+        if (const auto host = decode_host_record(item.key, item.value)) {
             m_confirmed_hosts[host->host] = host->incarnation;
         }
     }
--- a/proxy/store_sync_registration.cc
+++ b/proxy/store_sync_registration.cc
@@ -114,7 +114,8 @@
         return;
     }
     const auto item = m_store.get(host_key(m_self), call_deadline());
-    const auto earlier = item ? decode_host_record(item.value->value) : std::nullopt;
+    const auto earlier =
+        item ? decode_host_record(item.value->key, item.value->value) : std::nullopt;
     m_was_registered =
         m_was_registered || (earlier && earlier->incarnation != m_own_record.incarnation);
 }
--- a/test/record_mirror_test.cc
+++ b/test/record_mirror_test.cc
@@ -1,7 +1,11 @@
 #include "proxy/record_mirror.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <chrono>
+#include <thread>
 
+#include "odd_entries.h"
 #include "proxy/peer_messages.h"
 
 using namespace jasminelead;
@@ -131,3 +135,80 @@
     REQUIRE(received->changes.size() == 1);
     CHECK(received->changes.front().value == bytes);
 }
+
+// Guards against an endpoint that stays in use on an entry that another writer has overwritten, and
+// against an unreadable entry that affects the other endpoints.
+TEST_CASE("an entry that becomes unreadable names no endpoint after the grace time") {
+    const auto [name, value] = GENERATE(table<std::string, std::string>({
+        {"version", test::nested(1000)},
+        {"slots", "1e300"},
+        {"addr", "\"127.0.0.1:99999\""},
+    }));
+    INFO(name << " " << value.substr(0, 40));
+    const std::string odd = test::entry_with(name, value);
+    mirror_fixture f;
+    for (const char* key : {"servers/a", "servers/b", "servers/c"}) {
+        f.mirror.apply({key, 5, endpoint_value()});
+    }
+    f.mirror.apply({"servers/a", 6, odd});
+    f.mirror.apply({"servers/b", 7, odd});
+    f.mirror.remove_expired();
+    CHECK(f.lists("a"));
+    CHECK(f.counters.value("unreadable_records", "endpoint") == 2);
+    f.mirror.apply({"servers/b", 8, endpoint_value()});
+    std::this_thread::sleep_for(std::chrono::milliseconds{2600});
+    f.mirror.remove_expired();
+    CHECK_FALSE(f.lists("a"));
+    CHECK(f.lists("b"));
+    CHECK(f.lists("c"));
+    f.mirror.apply({"servers/a", 9, endpoint_value()});
+    CHECK(f.lists("a"));
+}
+
+// Guards against connections to one service that are used for statements of another.
+TEST_CASE("an entry that names another service replaces the endpoint's connections") {
+    mirror_fixture f;
+    f.mirror.apply({"servers/a", 5, endpoint_value()});
+    const auto before = f.fleet.pool(endpoint_id{"a"});
+    std::string moved = endpoint_value();
+    moved.replace(moved.find("shows"), 5, "other");
+    f.mirror.apply({"servers/a", 6, moved});
+    CHECK(before->is_retired());
+    CHECK(f.fleet.pools(group_id{"shows"}).empty());
+    CHECK(f.fleet.pools(group_id{"other"}).size() == 1);
+}
+
+// Guards against a malformed acknowledgement that covers every mark of a group, so that a successor
+// is promoted while the host still uses the old primary.
+TEST_CASE("a malformed acknowledgement of stopped use is ignored") {
+    mirror_fixture f;
+    const group_id group{"shows"};
+    const host_id host{"h2"};
+    const std::string key = stopped_use_key(group, host);
+    f.mirror.apply({key, 9, "7"});
+    CHECK(f.mirror.stopped(group, host) == 7);
+    revision_number revision = 9;
+    for (const char* text : {"-1", "99999999999999999999", "18446744073709551615", "8x", " 8", "8 ",
+                             "+8", "", "1e9", "0x9", "8.0", "{}", "1000"}) {
+        INFO(text);
+        f.mirror.apply({key, ++revision, text});
+        CHECK(f.mirror.stopped(group, host) == 7);
+    }
+    f.mirror.apply({key, 40, "38"});
+    CHECK(f.mirror.stopped(group, host) == 38);
+}
+
+// Guards against a record that stands for another host, and against a lease so long that no primary
+// is ever replaced.
+TEST_CASE("a host record with another host's name or an implausible lease is ignored") {
+    mirror_fixture f;
+    const std::string key = "jasminelead/fleet/host/h2";
+    f.mirror.apply({key, 5, R"({"host":"h3","incarnation":1,"peer":"127.0.0.1:1"})"});
+    f.mirror.apply({key, 6, R"({"host":"h2","incarnation":1,"peer":"127.0.0.1:1",
+                               "lease_us":2000000000000000000})"});
+    CHECK(f.mirror.hosts().empty());
+    CHECK(f.mirror.longest_lease() == f.fleet.lease.length());
+    f.mirror.apply({key, 7, R"({"host":"h2","incarnation":1,"peer":"127.0.0.1:1",
+                               "lease_us":1500000})"});
+    CHECK(f.mirror.hosts().size() == 1);
+}
