--- a/test/odd_entries_daemon_test.cc
+++ b/test/odd_entries_daemon_test.cc
@@ -1,4 +1,5 @@
 #include <chrono>
+#include <map>
 #include <thread>
 
 #include "odd_entries.h"
@@ -108,3 +109,20 @@
         CHECK(serves(all, host, "late"));
     }
 }
+
+// Guards against a record under another key that names this host: its registration would count as
+// outdated, and each confirmation would revoke its lease.
+TEST_CASE("a host record that names another host does not revoke that host's lease",
+          "[odd-entries]") {
+    fleet all;
+    caller pay{all.port(), "pay"};
+    all.platform().put("jasminelead/fleet/host/odd",
+                       R"({"host":"h1","incarnation":1,"peer":"127.0.0.1:9"})");
+    int refused = 0;
+    for (int i = 0; i < 150; ++i) {
+        refused += pay.query("WRITE k v" + std::to_string(i)).starts_with("DONE") ? 0 : 1;
+        std::this_thread::sleep_for(std::chrono::milliseconds{20});
+    }
+    CHECK(refused == 0);
+    CHECK(all.daemon().counters().value("unreadable_records", "host") == 1);
+}
--- a/test/odd_entries_test.cc
+++ b/test/odd_entries_test.cc
@@ -75,9 +75,9 @@
                                                          "state", "dbRole", "born", "version");
         const auto digits =
             rc::gen::container<std::string>(rc::gen::elementOf(std::string{"0123456789+-.eE"}));
-        const auto bytes = rc::gen::map(rc::gen::arbitrary<std::string>(), [](std::string text) {
-            return '"' + text.substr(0, 300) + '"';
-        });
+        const auto bytes =
+            rc::gen::map(rc::gen::arbitrary<std::string>(),
+                         [](const std::string& text) { return '"' + text.substr(0, 300) + '"'; });
         const auto ports = rc::gen::map(rc::gen::inRange(-70'000, 200'000), [](int port) {
             return "\"127.0.0.1:" + std::to_string(port) + '"';
         });
