--- a/test/platform_store_client_test.cc
+++ b/test/platform_store_client_test.cc
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <future>
+#include <map>
 
 #include "daemon/worker.h"
 #include "platform/store_client.h"
@@ -108,6 +109,36 @@
     }
 }
 
+// Guards against a key that is not valid UTF-16, which some stores write as escapes.
+TEST_CASE("a key with half a surrogate pair does not affect the others", "[odd-entries]") {
+    const std::map<std::string, std::string> keys{
+        {"servers/\\ud800", "servers/\xed\xa0\x80"},
+        {"\\uDFFFx", "\xed\xbf\xbfx"},
+        {"\\ud800\\ud83d\\ude00", "\xed\xa0\x80\xf0\x9f\x98\x80"},
+        {"\\ud800\\n", "\xed\xa0\x80\n"},
+        {"\\\\ud800\\udc00", "\\ud800\xed\xb0\x80"},
+        {"\\ud800\\u0041",
+         "\xed\xa0\x80"
+         "A"},
+    };
+    for (const auto& [written, read] : keys) {
+        INFO(written);
+        store_fixture store{R"({"items":)" + items(item(written, "\"YQ==\"")) +
+                            R"(,"truncated":false,"storeRevision":9})"};
+        const auto listing = store.list();
+        REQUIRE(listing);
+        REQUIRE(listing.value->items.size() == 3);
+        CHECK(listing.value->items[1].key == read);
+        CHECK(listing.value->items[2].value == "b");
+    }
+    for (const char* broken : {"\\ud8", "\\ud800\\", "\\ud800\\x"}) {
+        INFO(broken);
+        store_fixture store{R"({"items":)" + items(item(broken, "\"YQ==\"")) +
+                            R"(,"truncated":false,"storeRevision":9})"};
+        CHECK(store.list().fault == platform::store_fault::malformed);
+    }
+}
+
 // Guards against changes that are missed: an answer without keys or revisions is not the store's.
 TEST_CASE("an answer whose items lack a key or a revision is malformed", "[odd-entries]") {
     for (const char* odd :
