Add a soak over daemons that run as separate processes

Change: soak/ holds the stand-ins as modules, a seeded plan of overlapping faults, clients, and a judge of the users' rules.

--- /dev/null
+++ b/soak/fault_player.cc
@@ -0,0 +1,264 @@
+#include "soak/fault_player.h"
+
+#include <signal.h>
+
+#include <list>
+#include <random>
+
+#include "soak/clock.h"
+#include "soak/instance.h"
+
+namespace jasminelead::soak {
+namespace {
+
+using enum fault_kind;
+
+constexpr double usual_lag_ms = 60;
+constexpr double replacement_gap_ms = 300;
+constexpr std::array<store_mode, 4> refusals{store_mode::busy, store_mode::silent,
+                                             store_mode::resets, store_mode::limited};
+
+std::string name_of(const planned_fault& fault) {
+    return std::string{to_string(fault.kind)};
+}
+
+}  // namespace
+
+fault_player::fault_player(deployment& all, workload& clients, disturbance_log& disturbances,
+                           double usual_work_ms)
+    : m_all{all}, m_clients{clients}, m_disturbances{disturbances}, m_usual_work_ms{usual_work_ms} {
+    for (const daemon_process& item : all.daemons) {
+        m_hosts[item.host];
+    }
+}
+
+void fault_player::play(const std::vector<planned_fault>& plan) {
+    const double start = now_ms();
+    std::list<std::thread> running;
+    for (const planned_fault& fault : plan) {
+        sleep_ms(start + fault.at_ms - now_ms());
+        running.emplace_back([this, &fault] { play_one(fault); });
+    }
+    for (std::thread& item : running) {
+        item.join();
+    }
+}
+
+fault_player::target fault_player::choose(const planned_fault& fault) {
+    target result;
+    std::mt19937 random{fault.target};
+    result.group = m_all.services[random() % m_all.services.size()].get();
+    result.host = &m_all.daemons[random() % m_all.daemons.size()];
+    const std::lock_guard lock{result.group->lock};
+    std::vector<instance*> replicas;
+    for (const auto& item : result.group->instances) {
+        if (item.get() == result.group->leader) {
+            result.primary = item.get();
+        } else if (item->is_running()) {
+            replicas.push_back(item.get());
+        }
+    }
+    result.replica = replicas.empty() ? result.primary : replicas[random() % replicas.size()];
+    return result;
+}
+
+void fault_player::play_one(const planned_fault& fault) {
+    const target at = choose(fault);
+    note("fault " + name_of(fault) + " for " + std::to_string(fault.length_ms) + " ms, value " +
+         std::to_string(fault.value) + ", service " + at.group->name + ", primary " +
+         at.primary->id() + ", replica " + at.replica->id() + ", host " + at.host->host);
+    if (fault.kind <= list_late) {
+        play_platform(fault, at);
+    } else if (fault.kind <= config_change) {
+        play_store(fault, at);
+    } else if (fault.kind <= answers_lost) {
+        play_instance(fault, at);
+    } else {
+        play_host(fault, at);
+    }
+    note("end of fault " + name_of(fault));
+}
+
+template <class Set>
+void fault_player::hold(const planned_fault& fault, const std::string& name, Set set) {
+    const std::string key = name_of(fault) + "/" + name;
+    {
+        const std::lock_guard lock{m_lock};
+        ++m_holders[key];
+        set(true);
+    }
+    sleep_ms(fault.length_ms);
+    const std::lock_guard lock{m_lock};
+    if (--m_holders[key] == 0) {
+        set(false);
+    }
+}
+
+void fault_player::change_promotions(double promotion_trouble::*member, double value) {
+    m_promotions.*member = value;
+    m_all.promotions.set_trouble(m_promotions);
+}
+
+void fault_player::change_store(double store_trouble::*member, double value) {
+    m_store.*member = value;
+    m_all.keys.set_trouble(m_store);
+}
+
+void fault_player::play_platform(const planned_fault& fault, const target& at) {
+    const auto hold_member = [&](double promotion_trouble::*member) {
+        hold(fault, "", [&](bool is_on) { change_promotions(member, is_on ? fault.value : 0); });
+    };
+    switch (fault.kind) {
+        case promotion_answers_late:
+            return hold_member(&promotion_trouble::answer_ms);
+        case promotion_effects_late:
+            return hold_member(&promotion_trouble::effect_ms);
+        case promotion_unanswered:
+            return hold_member(&promotion_trouble::unanswered_share);
+        case promotion_refused:
+            return hold_member(&promotion_trouble::refused_share);
+        case promotion_cut:
+            m_disturbances.add({at.host->host, "", now_ms(), now_ms() + fault.length_ms});
+            return hold(fault, at.host->host,
+                        [&](bool is_on) { m_all.promotions.set_cut(at.host->host, is_on); });
+        default:
+            return hold(fault, at.group->name, [&](bool is_on) {
+                const std::lock_guard lock{at.group->lock};
+                at.group->role_lag_ms = is_on ? fault.value : 0;
+            });
+    }
+}
+
+void fault_player::play_store(const planned_fault& fault, const target& at) {
+    const auto hold_member = [&](double store_trouble::*member) {
+        hold(fault, "", [&](bool is_on) { change_store(member, is_on ? fault.value : 0); });
+    };
+    const store_mode refusal = refusals[fault.target / 7 % refusals.size()];
+    switch (fault.kind) {
+        case store_down:
+            return hold(fault, "", [&](bool is_on) {
+                m_store.ends_leases = fault.target % 2 == 0;
+                m_all.keys.set_trouble(m_store);
+                m_all.keys.set_modes(is_on ? refusal : store_mode::serves);
+            });
+        case store_refuses_host:
+            return hold(fault, at.host->host, [&](bool is_on) {
+                m_all.keys.set_mode(at.host->store_caller, is_on ? refusal : store_mode::serves);
+            });
+        case store_slow:
+            return hold_member(&store_trouble::delay_ms);
+        case store_answers_lost:
+            return hold_member(&store_trouble::lost_share);
+        case store_calls_late:
+            return hold_member(&store_trouble::late_share);
+        case store_forgets:
+            return m_all.keys.forget_history();
+        default:
+            return m_all.put_config();
+    }
+}
+
+void fault_player::play_instance(const planned_fault& fault, const target& at) {
+    service& group = *at.group;
+    const auto hold_setting = [&](instance& item, auto set) {
+        hold(fault, item.id(), [&](bool is_on) { item.change([&] { set(item, is_on); }); });
+    };
+    switch (fault.kind) {
+        case drain_primary:
+            return drain(fault, group, *at.primary);
+        case drain_called_off:
+            return hold_setting(*at.primary,
+                                [](instance& item, bool is_on) { item.is_draining = is_on; });
+        case crash_primary:
+        case crash_replica: {
+            instance& item = fault.kind == crash_primary ? *at.primary : *at.replica;
+            item.crash();
+            sleep_ms(fault.length_ms);
+            return item.restart();
+        }
+        case cut_primary:
+            return hold_setting(*at.primary,
+                                [](instance& item, bool is_on) { item.is_cut_off = is_on; });
+        case cut_primary_from_hosts:
+            return cut_from_hosts(fault, group, *at.primary);
+        case cut_replica_from_hosts:
+            return cut_from_hosts(fault, group, *at.replica);
+        case deaf_replica:
+            return hold_setting(*at.replica,
+                                [](instance& item, bool is_on) { item.is_deaf = is_on; });
+        case lagging_replica:
+            return hold_setting(*at.replica, [&](instance& item, bool is_on) {
+                item.lag_ms = is_on ? fault.value : usual_lag_ms;
+            });
+        case slow_instance:
+            return hold_setting(*at.primary, [&](instance& item, bool is_on) {
+                item.work_ms = is_on ? fault.value : m_usual_work_ms;
+            });
+        default:
+            return hold_setting(*at.primary, [&](instance& item, bool is_on) {
+                item.lost_share = is_on ? fault.value : 0;
+            });
+    }
+}
+
+void fault_player::cut_from_hosts(const planned_fault& fault, service& group, instance& item) {
+    std::mt19937 random{fault.target + 1};
+    std::vector<std::string> hosts;
+    for (const daemon_process& daemon : m_all.daemons) {
+        if (std::uniform_real_distribution<>{0, 1}(random) < fault.value) {
+            hosts.push_back(daemon.host);
+        }
+    }
+    {
+        const std::lock_guard lock{group.lock};
+        for (const std::string& host : hosts) {
+            item.cut_from.insert(host);
+            m_disturbances.add({host, item.id(), now_ms(), now_ms() + fault.length_ms});
+        }
+    }
+    sleep_ms(fault.length_ms);
+    const std::lock_guard lock{group.lock};
+    for (const std::string& host : hosts) {
+        item.cut_from.erase(host);
+    }
+}
+
+/// The instance reports that it is draining, ends, and a new one takes over its address and log.
+void fault_player::drain(const planned_fault& fault, service& group, instance& item) {
+    item.change([&] { item.is_draining = true; });
+    sleep_ms(fault.length_ms);
+    item.leave();
+    sleep_ms(replacement_gap_ms);
+    instance& added = group.replace(item, item.id() + "-" + std::to_string(++m_replaced));
+    added.change([&] {
+        added.work_ms = m_usual_work_ms;
+        added.queue = item.queue;
+    });
+}
+
+void fault_player::play_host(const planned_fault& fault, const target& at) {
+    daemon_process& host = *at.host;
+    if (fault.kind == burst) {
+        m_clients.burst(static_cast<std::size_t>(fault.value), fault.length_ms);
+        return sleep_ms(fault.length_ms);
+    }
+    const std::lock_guard in_turn{m_hosts.at(host.host)};
+    switch (fault.kind) {
+        case host_kill:
+        case host_term:
+            fault.kind == host_kill ? deployment::kill(host) : deployment::terminate(host);
+            sleep_ms(fault.length_ms);
+            return m_all.start(host);
+        case host_freeze: {
+            const double from = now_ms();
+            deployment::signal(host, SIGSTOP);
+            sleep_ms(fault.length_ms);
+            deployment::signal(host, SIGCONT);
+            return m_disturbances.add({host.host, "", from, now_ms()});
+        }
+        default:
+            return deployment::signal(host, SIGHUP);
+    }
+}
+
+}  // namespace jasminelead::soak
--- /dev/null
+++ b/soak/fault_player.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <atomic>
+#include <map>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "soak/deployment.h"
+#include "soak/judge.h"
+#include "soak/soak_plan.h"
+#include "soak/workload.h"
+
+namespace jasminelead::soak {
+
+/// Plays the faults of a plan; those that overlap last as long as any of them.
+class fault_player {
+public:
+    fault_player(deployment& all, workload& clients, disturbance_log& disturbances,
+                 double usual_work_ms);
+    /// Returns when all faults have ended.
+    void play(const std::vector<planned_fault>& plan);
+
+private:
+    struct target {
+        service* group = nullptr;
+        instance* primary = nullptr;
+        instance* replica = nullptr;
+        daemon_process* host = nullptr;
+    };
+
+    target choose(const planned_fault& fault);
+    void play_one(const planned_fault& fault);
+    void play_platform(const planned_fault& fault, const target& at);
+    void play_store(const planned_fault& fault, const target& at);
+    void play_instance(const planned_fault& fault, const target& at);
+    void play_host(const planned_fault& fault, const target& at);
+    void cut_from_hosts(const planned_fault& fault, service& group, instance& item);
+    void drain(const planned_fault& fault, service& group, instance& item);
+    /// Sets a value for the length of a fault, then the usual one unless another fault has set it.
+    template <class Set>
+    void hold(const planned_fault& fault, const std::string& name, Set set);
+    void change_promotions(double promotion_trouble::*member, double value);
+    void change_store(double store_trouble::*member, double value);
+
+    deployment& m_all;
+    workload& m_clients;
+    disturbance_log& m_disturbances;
+    double m_usual_work_ms;
+    std::mutex m_lock;
+    std::map<std::string, int> m_holders;
+    promotion_trouble m_promotions;
+    store_trouble m_store;
+    std::map<std::string, std::mutex> m_hosts;  ///< One signal series per host at a time.
+    std::atomic<int> m_replaced = 0;
+};
+
+}  // namespace jasminelead::soak
--- /dev/null
+++ b/soak/judge.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <cstddef>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "soak/deployment.h"
+#include "soak/workload.h"
+
+/// The users' rules, judged by what clients, instances and the platform have seen.
+namespace jasminelead::soak {
+
+/// A daemon was frozen, or one of its links was disrupted.
+struct disturbance {
+    std::string host;
+    std::string instance;  ///< The other end; empty when the whole host is concerned.
+    double from = 0;
+    double to = 0;
+};
+
+class disturbance_log {
+public:
+    void add(const disturbance& item);
+    /// True when the host's link to the instance was disturbed at some time of the span.
+    [[nodiscard]] bool covers(const std::string& host, const std::string& instance, double from,
+                              double to) const;
+
+private:
+    mutable std::mutex m_lock;
+    std::vector<disturbance> m_items;
+};
+
+struct violation {
+    std::string rule;
+    std::string text;
+};
+
+struct observation {
+    deployment& all;
+    std::vector<attempt_record> attempts;
+    const disturbance_log& disturbances;
+};
+
+std::vector<violation> judge(const observation& seen);
+
+/// Each daemon serves reads and writes of each database.
+std::vector<violation> judge_recovery(deployment& all);
+
+}  // namespace jasminelead::soak
--- /dev/null
+++ b/soak/soak_plan.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "soak/workload.h"
+
+/// The seeded plan of one run: which faults begin when, and how long they last.
+namespace jasminelead::soak {
+
+enum class fault_kind {
+    // Of the platform's calls and of its list of instances.
+    promotion_answers_late,  ///< Value: most ms.
+    promotion_effects_late,  ///< Value: most ms beyond the usual.
+    promotion_unanswered,    ///< Value: share of the calls.
+    promotion_refused,       ///< Value: share of the calls.
+    promotion_cut,           ///< From one host.
+    list_late,               ///< Value: ms from a change of a role to its listing.
+    store_down,              ///< For all hosts.
+    store_refuses_host,
+    store_slow,          ///< Value: ms added to each answer.
+    store_answers_lost,  ///< Value: share of the calls.
+    store_calls_late,    ///< Value: share of the calls.
+    store_forgets,
+    config_change,
+    // Of instances.
+    drain_primary,     ///< The instance ends and a new one takes its place.
+    drain_called_off,  ///< The primary reports that it is draining for the length.
+    crash_primary,
+    crash_replica,
+    cut_primary,             ///< From the other instances.
+    cut_primary_from_hosts,  ///< Value: share of the hosts.
+    cut_replica_from_hosts,  ///< Value: share of the hosts.
+    deaf_replica,
+    lagging_replica,  ///< Value: ms behind.
+    slow_instance,    ///< Value: ms of work a statement.
+    answers_lost,     ///< Value: share of the statements that were run.
+    // Of hosts and clients.
+    host_kill,
+    host_term,
+    host_freeze,
+    host_reload,
+    burst,  ///< Value: clients that come in addition.
+};
+
+std::string_view to_string(fault_kind kind);
+
+/// How often faults of a kind begin, and their ranges.
+struct fault_rate {
+    fault_kind kind;
+    double every_ms;  ///< Mean time between two of them.
+    double min_ms;
+    double max_ms;
+    double min_value = 0;
+    double max_value = 0;
+};
+
+struct soak_profile {
+    std::string name;
+    std::size_t services = 1;
+    bool synchronous = false;  ///< For the last service.
+    double work_ms = 12;
+    std::size_t queue = 1;
+    load_settings load;
+    std::vector<fault_rate> rates;
+};
+
+struct planned_fault {
+    fault_kind kind;
+    double at_ms;
+    double length_ms;
+    double value;
+    std::uint32_t target;  ///< Chooses the service, the instance and the host.
+};
+
+const std::vector<soak_profile>& soak_profiles();
+
+/// In the order of their beginnings; all end before `length_ms`.
+std::vector<planned_fault> make_plan(const soak_profile& profile, unsigned seed, double length_ms);
+
+}  // namespace jasminelead::soak
