Let the soak choose which instance of a service a fault concerns

Change: faults name the primary, a replica or any instance; isolate cuts a primary off from its replicas and for a while from all hosts, so that it keeps its log and its role.

--- a/soak/fault_player.cc
+++ b/soak/fault_player.cc
@@ -50,23 +50,25 @@
     result.group = m_all.services[random() % m_all.services.size()].get();
     result.host = &m_all.daemons[random() % m_all.daemons.size()];
     const std::lock_guard lock{result.group->lock};
-    std::vector<instance*> replicas;
+    instance* const primary = result.group->leader;
+    std::vector<instance*> others;
     for (const auto& item : result.group->instances) {
-        if (item.get() == result.group->leader) {
-            result.primary = item.get();
-        } else if (item->is_running()) {
-            replicas.push_back(item.get());
+        if (item->is_running() && item.get() != primary) {
+            others.push_back(item.get());
         }
     }
-    result.replica = replicas.empty() ? result.primary : replicas[random() % replicas.size()];
+    if (fault.instance == instance_choice::any) {
+        others.push_back(primary);
+    }
+    const bool is_primary = fault.instance == instance_choice::primary || others.empty();
+    result.item = is_primary ? primary : others[random() % others.size()];
     return result;
 }
 
 void fault_player::play_one(const planned_fault& fault) {
     const target at = choose(fault);
     note("fault " + name_of(fault) + " for " + std::to_string(fault.length_ms) + " ms, value " +
-         std::to_string(fault.value) + ", service " + at.group->name + ", primary " +
-         at.primary->id() + ", replica " + at.replica->id() + ", host " + at.host->host);
+         std::to_string(fault.value) + ", instance " + at.item->id() + ", host " + at.host->host);
     if (fault.kind <= list_late) {
         play_platform(fault, at);
     } else if (fault.kind <= config_change) {
@@ -159,72 +161,82 @@
 }
 
 void fault_player::play_instance(const planned_fault& fault, const target& at) {
-    service& group = *at.group;
-    const auto hold_setting = [&](instance& item, auto set) {
-        hold(fault, item.id(), [&](bool is_on) { item.change([&] { set(item, is_on); }); });
+    const auto hold_setting = [&](auto set) {
+        hold(fault, at.item->id(),
+             [&](bool is_on) { at.item->change([&] { set(*at.item, is_on); }); });
     };
     switch (fault.kind) {
-        case drain_primary:
-            return drain(fault, group, *at.primary);
+        case fault_kind::drain:
+            return replace(fault, *at.group, *at.item);
         case drain_called_off:
-            return hold_setting(*at.primary,
-                                [](instance& item, bool is_on) { item.is_draining = is_on; });
-        case crash_primary:
-        case crash_replica: {
-            instance& item = fault.kind == crash_primary ? *at.primary : *at.replica;
-            item.crash();
+            return hold_setting([](instance& item, bool is_on) { item.is_draining = is_on; });
+        case fault_kind::crash:
+            at.item->crash();
             sleep_ms(fault.length_ms);
-            return item.restart();
-        }
-        case cut_primary:
-            return hold_setting(*at.primary,
-                                [](instance& item, bool is_on) { item.is_cut_off = is_on; });
-        case cut_primary_from_hosts:
-            return cut_from_hosts(fault, group, *at.primary);
-        case cut_replica_from_hosts:
-            return cut_from_hosts(fault, group, *at.replica);
-        case deaf_replica:
-            return hold_setting(*at.replica,
-                                [](instance& item, bool is_on) { item.is_deaf = is_on; });
-        case lagging_replica:
-            return hold_setting(*at.replica, [&](instance& item, bool is_on) {
+            return at.item->restart();
+        case cut_off:
+        case cut_from_hosts:
+        case isolate:
+            return cut(fault, at);
+        case deaf:
+            return hold_setting([](instance& item, bool is_on) { item.is_deaf = is_on; });
+        case lagging:
+            return hold_setting([&](instance& item, bool is_on) {
                 item.lag_ms = is_on ? fault.value : usual_lag_ms;
             });
-        case slow_instance:
-            return hold_setting(*at.primary, [&](instance& item, bool is_on) {
+        case slow:
+            return hold_setting([&](instance& item, bool is_on) {
                 item.work_ms = is_on ? fault.value : m_usual_work_ms;
             });
         default:
-            return hold_setting(*at.primary, [&](instance& item, bool is_on) {
-                item.lost_share = is_on ? fault.value : 0;
-            });
+            return hold_setting(
+                [&](instance& item, bool is_on) { item.lost_share = is_on ? fault.value : 0; });
     }
 }
 
-void fault_player::cut_from_hosts(const planned_fault& fault, service& group, instance& item) {
+void fault_player::cut(const planned_fault& fault, const target& at) {
+    if (fault.kind == cut_from_hosts) {
+        return cut_hosts(fault, at, fault.value, fault.length_ms);
+    }
+    // Both begin at once, so that the instance makes no commit that its replicas lack.
+    std::thread hosts{[&] {
+        if (fault.kind == isolate) {
+            cut_hosts(fault, at, 1, fault.length_ms * fault.value);
+        }
+    }};
+    hold(fault, at.item->id(), [&](bool is_on) {
+        const std::lock_guard lock{at.group->lock};
+        at.item->is_cut_off = is_on;
+    });
+    hosts.join();
+}
+
+void fault_player::cut_hosts(const planned_fault& fault, const target& at, double share,
+                             double length_ms) {
     std::mt19937 random{fault.target + 1};
     std::vector<std::string> hosts;
     for (const daemon_process& daemon : m_all.daemons) {
-        if (std::uniform_real_distribution<>{0, 1}(random) < fault.value) {
+        if (std::uniform_real_distribution<>{0, 1}(random) < share) {
             hosts.push_back(daemon.host);
         }
     }
+    const double now = now_ms();
     {
-        const std::lock_guard lock{group.lock};
+        const std::lock_guard lock{at.group->lock};
         for (const std::string& host : hosts) {
-            item.cut_from.insert(host);
-            m_disturbances.add({host, item.id(), now_ms(), now_ms() + fault.length_ms});
+            at.item->cut_from.insert(host);
+            m_disturbances.add({host, at.item->id(), now, now + length_ms});
         }
     }
-    sleep_ms(fault.length_ms);
-    const std::lock_guard lock{group.lock};
+    sleep_ms(length_ms);
+    const std::lock_guard lock{at.group->lock};
     for (const std::string& host : hosts) {
-        item.cut_from.erase(host);
+        at.item->cut_from.erase(host);
     }
 }
 
 /// The instance reports that it is draining, ends, and a new one takes over its address and log.
-void fault_player::drain(const planned_fault& fault, service& group, instance& item) {
+void fault_player::replace(const planned_fault& fault, service& group, instance& item) {
     item.change([&] { item.is_draining = true; });
     sleep_ms(fault.length_ms);
     item.leave();
--- a/soak/fault_player.h
+++ b/soak/fault_player.h
@@ -25,8 +25,7 @@
 private:
     struct target {
         service* group = nullptr;
-        instance* primary = nullptr;
-        instance* replica = nullptr;
+        instance* item = nullptr;
         daemon_process* host = nullptr;
     };
 
@@ -36,8 +35,10 @@
     void play_store(const planned_fault& fault, const target& at);
     void play_instance(const planned_fault& fault, const target& at);
     void play_host(const planned_fault& fault, const target& at);
-    void cut_from_hosts(const planned_fault& fault, service& group, instance& item);
-    void drain(const planned_fault& fault, service& group, instance& item);
+    void cut(const planned_fault& fault, const target& at);
+    /// Cuts the instance off from a share of the hosts.
+    void cut_hosts(const planned_fault& fault, const target& at, double share, double length_ms);
+    void replace(const planned_fault& fault, service& group, instance& item);
     /// Sets a value for the length of a fault, then the usual one unless another fault has set it.
     template <class Set>
     void hold(const planned_fault& fault, const std::string& name, Set set);
--- a/soak/process_soak_main.cc
+++ b/soak/process_soak_main.cc
@@ -145,6 +145,7 @@
     const auto plan = make_plan(options.profile, options.seed, options.length_ms);
     fault_player{all, clients, disturbances, options.profile.work_ms}.play(plan);
     note("all faults have ended");
+    clients.calm_down();
     sleep_ms(recovery_ms);
     std::vector<violation> found = judge_recovery(all);
     clients.stop();
--- a/soak/soak_plan.cc
+++ b/soak/soak_plan.cc
@@ -9,11 +9,12 @@
 namespace {
 
 using enum fault_kind;
+using enum instance_choice;
 
 // The first faults begin after this time.
 constexpr double first_fault_ms = 500;
 
-constexpr std::array<std::pair<fault_kind, std::string_view>, 29> names{{
+constexpr std::array<std::pair<fault_kind, std::string_view>, 28> names{{
     {promotion_answers_late, "promotion_answers_late"},
     {promotion_effects_late, "promotion_effects_late"},
     {promotion_unanswered, "promotion_unanswered"},
@@ -27,16 +28,15 @@
     {store_calls_late, "store_calls_late"},
     {store_forgets, "store_forgets"},
     {config_change, "config_change"},
-    {drain_primary, "drain_primary"},
+    {drain, "drain"},
     {drain_called_off, "drain_called_off"},
-    {crash_primary, "crash_primary"},
-    {crash_replica, "crash_replica"},
-    {cut_primary, "cut_primary"},
-    {cut_primary_from_hosts, "cut_primary_from_hosts"},
-    {cut_replica_from_hosts, "cut_replica_from_hosts"},
-    {deaf_replica, "deaf_replica"},
-    {lagging_replica, "lagging_replica"},
-    {slow_instance, "slow_instance"},
+    {crash, "crash"},
+    {cut_off, "cut_off"},
+    {cut_from_hosts, "cut_from_hosts"},
+    {isolate, "isolate"},
+    {deaf, "deaf"},
+    {lagging, "lagging"},
+    {slow, "slow"},
     {answers_lost, "answers_lost"},
     {host_kill, "host_kill"},
     {host_term, "host_term"},
@@ -45,26 +45,29 @@
     {burst, "burst"},
 }};
 
-soak_profile replacement() {
+// Primaries replace each other, and former ones still report that they lead.
+soak_profile replacement_faults() {
     soak_profile result;
     result.name = "replacement";
-    result.services = 1;
-    result.work_ms = 14;
-    result.load.clients = 40;
+    result.services = 3;
+    result.load.clients = 45;
+    result.load.pause_ms = 70;
     result.load.write_share = 0.4;
     result.rates = {
-        {list_late, 4000, 3000, 12000, 800, 3000},
-        {drain_called_off, 9000, 1000, 4000},
-        {cut_primary, 3500, 800, 6000},
-        {cut_primary_from_hosts, 4000, 800, 5000, 0.5, 1},
-        {cut_replica_from_hosts, 8000, 800, 4000, 0.3, 0.9},
-        {slow_instance, 4000, 500, 3000, 100, 500},
-        {promotion_effects_late, 8000, 2000, 8000, 200, 3000},
+        {list_late, 2500, 3000, 12000, 800, 3000},
+        {isolate, 2500, 2000, 8000, 0.15, 0.6},
+        {isolate, 8000, 2000, 8000, 0.15, 0.6, any},
+        {drain_called_off, 5000, 500, 3000, 0, 0, any},
+        {cut_off, 4000, 800, 6000},
+        {cut_from_hosts, 2500, 500, 3000, 0.6, 1},
+        {cut_from_hosts, 3000, 500, 3000, 0.4, 1, replica},
+        {slow, 3000, 500, 3000, 100, 500, any},
+        {deaf, 8000, 1000, 5000, 0, 0, replica},
+        {crash, 10000, 800, 4000},
+        {promotion_effects_late, 6000, 2000, 8000, 200, 3000},
         {promotion_answers_late, 9000, 2000, 6000, 200, 1500},
-        {promotion_unanswered, 12000, 2000, 6000, 0.3, 1},
-        {crash_primary, 15000, 800, 5000},
-        {deaf_replica, 15000, 1000, 4000},
-        {burst, 10000, 1000, 4000, 10, 25},
+        {promotion_unanswered, 15000, 2000, 5000, 0.3, 1},
+        {burst, 8000, 1000, 4000, 10, 25},
     };
     return result;
 }
@@ -82,8 +85,9 @@
         {store_calls_late, 12000, 1000, 4000, 0.02, 0.2},
         {store_forgets, 9000, 1, 1},
         {list_late, 10000, 3000, 8000, 500, 3000},
-        {crash_primary, 12000, 1000, 6000},
-        {cut_primary, 9000, 1000, 5000},
+        {crash, 12000, 1000, 6000},
+        {isolate, 9000, 1000, 6000, 0.2, 0.8},
+        {cut_from_hosts, 8000, 500, 4000, 0.3, 1},
         {host_kill, 12000, 300, 2500},
         {host_freeze, 9000, 200, 3000},
         {config_change, 7000, 1, 1},
@@ -91,25 +95,27 @@
     return result;
 }
 
-soak_profile mixed() {
+soak_profile mixed_faults() {
     soak_profile result;
     result.name = "mixed";
     result.services = 3;
-    result.work_ms = 12;
+    result.synchronous = true;
     result.load.clients = 54;
+    result.load.pause_ms = 70;
     result.rates = {
         {list_late, 8000, 3000, 10000, 300, 4000},
-        {drain_primary, 20000, 7000, 9000},
+        {drain, 20000, 7000, 9000},
+        {drain, 30000, 7000, 9000, 0, 0, replica},
         {drain_called_off, 15000, 1000, 4000},
-        {crash_primary, 12000, 800, 6000},
-        {crash_replica, 15000, 800, 6000},
-        {cut_primary, 8000, 800, 6000},
-        {cut_primary_from_hosts, 8000, 800, 5000, 0.2, 1},
-        {cut_replica_from_hosts, 12000, 800, 5000, 0.2, 1},
-        {deaf_replica, 15000, 1000, 6000},
-        {lagging_replica, 15000, 1000, 6000, 300, 3000},
-        {slow_instance, 10000, 500, 3000, 100, 400},
-        {answers_lost, 10000, 500, 3000, 0.01, 0.2},
+        {crash, 12000, 800, 6000},
+        {crash, 15000, 800, 6000, 0, 0, replica},
+        {cut_off, 10000, 800, 6000, 0, 0, any},
+        {isolate, 8000, 1000, 6000, 0.2, 0.8},
+        {cut_from_hosts, 8000, 800, 5000, 0.2, 1, any},
+        {deaf, 15000, 1000, 6000, 0, 0, replica},
+        {lagging, 15000, 1000, 6000, 300, 3000, replica},
+        {slow, 10000, 500, 3000, 100, 400, any},
+        {answers_lost, 10000, 500, 3000, 0.01, 0.2, any},
         {promotion_effects_late, 12000, 2000, 8000, 200, 4700},
         {promotion_answers_late, 12000, 2000, 6000, 200, 3000},
         {promotion_unanswered, 15000, 2000, 6000, 0.3, 1},
@@ -139,23 +145,29 @@
 }
 
 const std::vector<soak_profile>& soak_profiles() {
-    static const std::vector<soak_profile> profiles{mixed(), replacement(), store_faults()};
+    static const std::vector<soak_profile> profiles{mixed_faults(), replacement_faults(),
+                                                    store_faults()};
     return profiles;
 }
 
 std::vector<planned_fault> make_plan(const soak_profile& profile, unsigned seed, double length_ms) {
     std::vector<planned_fault> plan;
+    unsigned row = 0;
     for (const fault_rate& rate : profile.rates) {
-        // Each kind has its own numbers, so that a change of one row leaves the others as they are.
-        std::mt19937 random{seed * 7919U + static_cast<unsigned>(rate.kind)};
+        // Each row has its own numbers, so that a change of one leaves the others as they are.
+        std::mt19937 random{seed * 7919U + row++};
         const auto between = [&random](double low, double high) {
             return low + (high - low) * std::uniform_real_distribution<>{0, 1}(random);
         };
         double at = first_fault_ms;
         for (;;) {
             at += std::exponential_distribution<>{1 / rate.every_ms}(random);
-            planned_fault item{rate.kind, at, between(rate.min_ms, rate.max_ms),
-                               between(rate.min_value, rate.max_value), 0};
+            planned_fault item{rate.kind,
+                               at,
+                               between(rate.min_ms, rate.max_ms),
+                               between(rate.min_value, rate.max_value),
+                               rate.instance,
+                               0};
             item.target = static_cast<std::uint32_t>(random());
             if (at >= length_ms) {
                 break;
--- a/soak/soak_plan.h
+++ b/soak/soak_plan.h
@@ -26,17 +26,16 @@
     store_forgets,
     config_change,
     // Of instances.
-    drain_primary,     ///< The instance ends and a new one takes its place.
-    drain_called_off,  ///< The primary reports that it is draining for the length.
-    crash_primary,
-    crash_replica,
-    cut_primary,             ///< From the other instances.
-    cut_primary_from_hosts,  ///< Value: share of the hosts.
-    cut_replica_from_hosts,  ///< Value: share of the hosts.
-    deaf_replica,
-    lagging_replica,  ///< Value: ms behind.
-    slow_instance,    ///< Value: ms of work a statement.
-    answers_lost,     ///< Value: share of the statements that were run.
+    drain,             ///< The instance ends and a new one takes its place.
+    drain_called_off,  ///< It reports that it is draining for the length.
+    crash,
+    cut_off,         ///< From the other instances.
+    cut_from_hosts,  ///< Value: share of the hosts.
+    isolate,         ///< From the other instances; for a share of the length from all hosts.
+    deaf,
+    lagging,       ///< Value: ms behind.
+    slow,          ///< Value: ms of work a statement.
+    answers_lost,  ///< Value: share of the statements that were run.
     // Of hosts and clients.
     host_kill,
     host_term,
@@ -47,6 +46,9 @@
 
 std::string_view to_string(fault_kind kind);
 
+/// Which instance of a service a fault concerns.
+enum class instance_choice { primary, replica, any };
+
 /// How often faults of a kind begin, and their ranges.
 struct fault_rate {
     fault_kind kind;
@@ -55,6 +57,7 @@
     double max_ms;
     double min_value = 0;
     double max_value = 0;
+    instance_choice instance = instance_choice::primary;
 };
 
 struct soak_profile {
@@ -72,6 +75,7 @@
     double at_ms;
     double length_ms;
     double value;
+    instance_choice instance;
     std::uint32_t target;  ///< Chooses the service, the instance and the host.
 };
 
--- a/soak/workload.cc
+++ b/soak/workload.cc
@@ -94,7 +94,7 @@
         if (share(random) < short_session_share) {
             session.link.reset();
         }
-        sleep_ms(std::exponential_distribution<>{1 / m_load.pause_ms}(random));
+        sleep_ms(m_pause_factor * std::exponential_distribution<>{1 / m_load.pause_ms}(random));
     }
 }
 
--- a/soak/workload.h
+++ b/soak/workload.h
@@ -60,6 +60,8 @@
     void start();
     /// Adds clients for a while.
     void burst(std::size_t clients, double length_ms);
+    /// The clients pause longer from now on.
+    void calm_down() { m_pause_factor = calm_factor; }
     /// Returns when all clients have ended.
     void stop();
     /// What all clients were told.
@@ -74,6 +76,7 @@
         std::string prepared_write;
     };
     using random_source = std::mt19937;
+    static constexpr double calm_factor = 4;
 
     void run_client(std::size_t number, double end);
     bool open(session_state& session, const route& used, random_source& random);
@@ -90,6 +93,7 @@
     load_settings m_load;
     unsigned m_seed;
     std::atomic<bool> m_running = true;
+    std::atomic<double> m_pause_factor = 1;
     std::atomic<std::uint64_t> m_sessions = 0;
     std::atomic<std::size_t> m_extra = 0;
     std::mutex m_lock;
