Let the review's scripts use the stand-ins of the soak

Cause: the stand-ins stood in review/standins/world.hpp, where the soak could not use them. Change: the scripts include the modules of soak/, and review/build.sh compiles these.

--- a/review/build.sh
+++ b/review/build.sh
@@ -4,4 +4,5 @@
 cd "$(dirname "$0")/.."
 mkdir -p target
 "${CXX:-g++}" -std=c++20 -O1 -Wall -Wextra -pthread -o target/review-cases \
-    review/standins/cases.cpp -lboost_json
+    -I. review/standins/cases.cpp soak/{client,clock,deployment,http,instance}.cc \
+    soak/{instance_statements,promotion_call,service,sockets,store}.cc -lboost_json
--- a/review/standins/cases.cpp
+++ b/review/standins/cases.cpp
@@ -26,11 +26,11 @@
     all.put_config();
     all.start_all();
     if (!all.wait_until_served()) {
-        record->write("the deployment did not serve within its time");
+        note("the deployment did not serve within its time");
         return false;
     }
     sleep_ms(calm_ms);
-    record->write("the day begins");
+    note("the day begins");
     return true;
 }
 
@@ -57,9 +57,9 @@
 }
 
 int verdict(int result) {
-    record->write(result == held     ? "verdict: the rule held"
-                  : result == broken ? "verdict: the rule was broken"
-                                     : "verdict: the case could not run");
+    note(result == held     ? "verdict: the rule held"
+         : result == broken ? "verdict: the rule was broken"
+                            : "verdict: the case could not run");
     return result;
 }
 
@@ -78,15 +78,16 @@
     }
     const std::string name = values[1];
     const std::string folder = values[2];
-    record = std::make_unique<recorder>(folder + "/record.txt");
-    record->write("case " + name + (with_trouble() ? "" : " without the disruption"));
+    open_record(folder + "/record.txt");
+    note("case " + name + (with_trouble() ? "" : " without the disruption"));
     char temporary[] = "/tmp/review-XXXXXX";
     if (::mkdtemp(temporary) == nullptr) {
         return could_not_run;
     }
     std::thread{[] {
         sleep_ms(115000);
-        record->write("the time of the script is over");
+        note("the time of the script is over");
+        flush_record();
         std::_Exit(could_not_run);
     }}.detach();
     const std::map<std::string, int (*)(deployment&)> cases{
@@ -105,6 +106,7 @@
         result = verdict(chosen->second(*all));
     }
     all->stop();
+    flush_record();
     const char* const kept = std::getenv("KEEP");
     if (kept == nullptr) {
         std::filesystem::remove_all(temporary);
--- a/review/standins/lost.hpp
+++ b/review/standins/lost.hpp
@@ -85,21 +85,21 @@
     sleep_ms(2000);
     if (with_trouble()) {
         deaf.change([&] { deaf.is_deaf = true; });
-        record->write(deaf.id() + " receives nothing");
+        note(deaf.id() + " receives nothing");
         sleep_ms(2500);
         if (is_loaded) {
             add_readers(burst_readers);
-            record->write("the readers' rate is 1.7 times as high");
+            note("the readers' rate is 1.7 times as high");
         }
         sleep_ms(500);
         if (!is_loaded) {
             healthy.change([&] { healthy.is_draining = true; });
-            record->write(healthy.id() + " is draining");
+            note(healthy.id() + " is draining");
             sleep_ms(1000);
         }
         if (how == departure::drain_under_load || how == departure::drain_in_turn) {
             primary.change([&] { primary.is_draining = true; });
-            record->write(primary.id() + " is draining");
+            note(primary.id() + " is draining");
         } else {
             primary.crash();
         }
@@ -118,11 +118,10 @@
         item.join();
     }
     const std::lock_guard guard{lock};
-    record->write("acknowledged commits: " + std::to_string(acknowledged.size()) +
-                  ", promoted: " + (promoted.empty() ? "none" : promoted) +
-                  ", the complete replica is " + healthy.id());
+    note("acknowledged commits: " + std::to_string(acknowledged.size()) + ", promoted: " +
+         (promoted.empty() ? "none" : promoted) + ", the complete replica is " + healthy.id());
     for (const std::string& id : missing) {
-        record->write("LOST: the acknowledged commit " + id + " is not in the log of " + promoted);
+        note("LOST: the acknowledged commit " + id + " is not in the log of " + promoted);
     }
     if (with_trouble() && promoted.empty()) {
         return could_not_run;
--- a/review/standins/route.hpp
+++ b/review/standins/route.hpp
@@ -45,10 +45,9 @@
     bool is_broken = false;
     const std::lock_guard lock{first.lock};
     for (const run_event& event : first.runs) {
-        if (sent.contains(event.id) &&
-            std::find(event.log.begin(), event.log.end(), own->id) == event.log.end()) {
-            record->write("STALE: read " + event.id + " ran on " + event.instance +
-                          " without the session's own commit " + own->id);
+        if (sent.contains(event.id) && !first.log_has(event.log_end, own->id)) {
+            note("STALE: read " + event.id + " ran on " + event.instance +
+                 " without the session's own commit " + own->id);
             is_broken = true;
         }
     }
--- a/review/standins/smuggled.hpp
+++ b/review/standins/smuggled.hpp
@@ -18,7 +18,7 @@
         writer.query_as(id, text);
         const answer more = writer.read_answer(1000);
         if (!more.lines.empty()) {
-            record->write("further answer, though no request is outstanding: " + more.text());
+            note("further answer, though no request is outstanding: " + more.text());
         }
     }
     bool is_broken = false;
@@ -26,14 +26,13 @@
     for (const run_event& event : shows.runs) {
         const auto found = sent.find(event.id);
         if (event.id == hidden) {
-            record->write("UNASKED: " + event.instance + " ran " + event.id + " " +
-                          shown(event.text) + ", which was sent inside another request");
+            note("UNASKED: " + event.instance + " ran " + event.id + " " + shown(event.text) +
+                 ", which was sent inside another request");
             is_broken = true;
         }
         if (found != sent.end() && event.text != found->second) {
-            record->write("UNASKED: " + event.instance + " ran " + event.id +
-                          " with changed text: " + shown(event.text) + " instead of " +
-                          shown(found->second));
+            note("UNASKED: " + event.instance + " ran " + event.id + " with changed text: " +
+                 shown(event.text) + " instead of " + shown(found->second));
             is_broken = true;
         }
     }
--- a/review/standins/stale.hpp
+++ b/review/standins/stale.hpp
@@ -31,10 +31,10 @@
         old_primary.is_cut_off = true;
         for (const daemon_process& item : all.daemons) {
             if (item.zone != near.zone) {
-                old_primary.cut_from.insert(item.pid);
+                old_primary.cut_from.insert(item.host);
             }
         }
-        record->write("the primary is cut off from its replicas and from four of six daemons");
+        note("the primary is cut off from its replicas and from four of six daemons");
     }
     const double cut_at = now_ms();
     // Callers of the four daemons read at the primary, so that these notice the cut.
@@ -81,7 +81,7 @@
         }
         return could_not_run;
     }
-    record->write("the transaction ended: " + ended.text());
+    note("the transaction ended: " + ended.text());
     // The limit of the route and a margin for the clocks of this script.
     sleep_ms(change->acknowledged + 1520 - now_ms());
     std::map<std::string, double> sent;
@@ -92,7 +92,7 @@
         sleep_ms(30);
     }
     callers_read = false;
-    record->write("the cut has lasted " + std::to_string(now_ms() - cut_at) + " ms");
+    note("the cut has lasted " + std::to_string(now_ms() - cut_at) + " ms");
     for (std::thread& item : callers) {
         item.join();
     }
@@ -101,13 +101,12 @@
     for (const run_event& event : shows.runs) {
         const auto found = sent.find(event.id);
         const bool is_read = found != sent.end();
-        if (is_read &&
-            std::find(event.log.begin(), event.log.end(), change->id) == event.log.end()) {
+        if (is_read && !shows.log_has(event.log_end, change->id)) {
             ++stale;
-            record->write("STALE: read " + event.id + " ran on " + event.instance + " without " +
-                          change->id + ", acknowledged " +
-                          std::to_string(found->second - change->acknowledged) +
-                          " ms before the read was sent");
+            note("STALE: read " + event.id + " ran on " + event.instance + " without " +
+                 change->id + ", acknowledged " +
+                 std::to_string(found->second - change->acknowledged) +
+                 " ms before the read was sent");
         }
     }
     return stale > 0 ? broken : held;
