Keep an excerpt of the logs with each broken rule ONE

Cause: the lines that explain a commit at a former primary are spread over the record and the logs of six daemons. Change: the record and the logs are merged around the first such commit of each service. Own ends next to a freeze are not counted, configurations differ, and hosts are also killed at the same moment.

--- a/soak/deployment.cc
+++ b/soak/deployment.cc
@@ -29,6 +29,8 @@
 constexpr double probe_interval_ms = 100;
 constexpr std::size_t max_seeds = 3;
 constexpr std::size_t preloaded_commits = 5;
+constexpr std::uint32_t timeout_variations = 5;
+constexpr int timeout_step_ms = 100;
 
 json::object route_row(const route& item) {
     json::object row{{"name", "r-" + item.database},
@@ -122,12 +124,18 @@
     return nullptr;
 }
 
-void deployment::put_config() {
+void deployment::put_config(std::uint32_t variation) {
     const std::lock_guard lock{m_config_lock};
     json::array rows;
-    for (const route& item : routes) {
+    for (route item : routes) {
+        item.timeout_ms += static_cast<int>(variation % timeout_variations) * timeout_step_ms;
         rows.push_back(route_row(item));
     }
+    if (variation / timeout_variations % 2 == 1) {
+        route extra = routes.front();
+        extra.database = "extra-" + std::to_string(m_version);
+        rows.push_back(route_row(extra));
+    }
     json::array groups;
     for (const auto& item : services) {
         json::object row = service_row(*item);
@@ -203,6 +211,7 @@
     });
     add_caller(pid, item.host);
     item.is_ending = false;
+    item.started_at = now_ms();
     item.pid = pid;
     note("started " + item.host + " pid " + std::to_string(pid));
 }
--- a/soak/deployment.h
+++ b/soak/deployment.h
@@ -30,6 +30,7 @@
     std::uint16_t promotion_port = 0;
     std::size_t store_caller = 0;
     std::atomic<pid_t> pid = 0;
+    std::atomic<double> started_at = 0;
     /// Set before this program ends the process.
     std::atomic<bool> is_ending = false;
 };
@@ -63,8 +64,9 @@
                          bool synchronous = false);
     /// Null when there is no such service.
     service* find_service(const std::string& name);
-    /// The operator writes a configuration with the present routes.
-    void put_config();
+    /// The operator writes a configuration with the present routes. A variation other than 0
+    /// changes their timeouts and adds or removes a route that no client uses.
+    void put_config(std::uint32_t variation = 0);
     void add_daemon(const std::string& zone);
     /// Starts the daemons as the deploy file says, with the settings of its template.
     void start_all();
--- a/soak/fault_player.cc
+++ b/soak/fault_player.cc
@@ -15,6 +15,7 @@
 
 constexpr double usual_lag_ms = 60;
 constexpr double replacement_gap_ms = 300;
+constexpr double first_reload_ms = 1000;
 constexpr std::array<store_mode, 4> refusals{store_mode::busy, store_mode::silent,
                                              store_mode::resets, store_mode::limited};
 
@@ -156,7 +157,7 @@
         case store_forgets:
             return m_all.keys.forget_history();
         default:
-            return m_all.put_config();
+            return m_all.put_config(fault.target);
     }
 }
 
@@ -254,6 +255,9 @@
         m_clients.burst(static_cast<std::size_t>(fault.value), fault.length_ms);
         return sleep_ms(fault.length_ms);
     }
+    if (fault.kind == hosts_killed) {
+        return kill_hosts(fault);
+    }
     const std::lock_guard in_turn{m_hosts.at(host.host)};
     switch (fault.kind) {
         case host_kill:
@@ -269,8 +273,29 @@
             return m_disturbances.add({host.host, "", from, now_ms()});
         }
         default:
+            // A process that has just started has no handler of the signal yet.
+            sleep_ms(host.started_at + first_reload_ms - now_ms());
             return deployment::signal(host, SIGHUP);
     }
 }
 
+/// Kills a share of the hosts at the same moment.
+void fault_player::kill_hosts(const planned_fault& fault) {
+    std::mt19937 random{fault.target + 1};
+    std::list<std::thread> running;
+    for (daemon_process& host : m_all.daemons) {
+        if (std::uniform_real_distribution<>{0, 1}(random) < fault.value) {
+            running.emplace_back([this, &fault, &host] {
+                const std::lock_guard in_turn{m_hosts.at(host.host)};
+                deployment::kill(host);
+                sleep_ms(fault.length_ms);
+                m_all.start(host);
+            });
+        }
+    }
+    for (std::thread& item : running) {
+        item.join();
+    }
+}
+
 }  // namespace jasminelead::soak
--- a/soak/fault_player.h
+++ b/soak/fault_player.h
@@ -35,6 +35,7 @@
     void play_store(const planned_fault& fault, const target& at);
     void play_instance(const planned_fault& fault, const target& at);
     void play_host(const planned_fault& fault, const target& at);
+    void kill_hosts(const planned_fault& fault);
     void cut(const planned_fault& fault, const target& at);
     /// Cuts the instance off from a share of the hosts.
     void cut_hosts(const planned_fault& fault, const target& at, double share, double length_ms);
--- a/soak/judge.cc
+++ b/soak/judge.cc
@@ -80,8 +80,9 @@
         std::string id;
     };
 
-    void report(const std::string& rule, const std::string& text) {
-        m_found.push_back({rule, m_group.name + ": " + text});
+    void report(const std::string& rule, const std::string& text, const std::string& id = "",
+                double at = 0) {
+        m_found.push_back({rule, m_group.name + ": " + text, m_group.name, id, at});
     }
     [[nodiscard]] const sent_statement* find(const std::string& id) const {
         const auto found = m_sent.find(id);
@@ -143,7 +144,7 @@
             if (is_excluded) {
                 note("not counted, the sender was disturbed: " + text);
             } else {
-                report("ONE", text);
+                report("ONE", text, item.id, item.at);
             }
         }
     }
@@ -337,9 +338,10 @@
     for (const attempt_record& attempt : seen.attempts) {
         for (const statement_record& item : attempt.statements) {
             if (item.is_done && needs_signature(item.text) && !ran.contains(item.id)) {
-                found.push_back({"MIXED", "statement " + item.id + " " + item.text +
-                                              " was answered with " + item.signature +
-                                              " and ran nowhere"});
+                found.push_back({"MIXED",
+                                 "statement " + item.id + " " + item.text + " was answered with " +
+                                     item.signature + " and ran nowhere",
+                                 "", item.id, item.sent});
             }
         }
     }
@@ -390,10 +392,12 @@
     for (const daemon_process& daemon : all.daemons) {
         for (const route& used : all.routes) {
             if (!is_served(daemon, used, "READ seed")) {
-                found.push_back({"RECOVER", "no read of " + used.database + " by " + daemon.host});
+                found.push_back(
+                    {"RECOVER", "no read of " + used.database + " by " + daemon.host, "", "", 0});
             }
             if (used.type != "bounded_stale" && !is_served(daemon, used, "WRITE seed 1")) {
-                found.push_back({"RECOVER", "no write of " + used.database + " by " + daemon.host});
+                found.push_back(
+                    {"RECOVER", "no write of " + used.database + " by " + daemon.host, "", "", 0});
             }
         }
     }
--- a/soak/judge.h
+++ b/soak/judge.h
@@ -34,6 +34,9 @@
 struct violation {
     std::string rule;
     std::string text;
+    std::string group;  ///< Empty when it concerns no single service.
+    std::string id;     ///< Of the statement; empty when there is none.
+    double at = 0;
 };
 
 struct observation {
--- a/soak/process_soak_main.cc
+++ b/soak/process_soak_main.cc
@@ -14,6 +14,7 @@
 #include "soak/fault_player.h"
 #include "soak/instance.h"
 #include "soak/judge.h"
+#include "soak/log_excerpt.h"
 #include "soak/soak_plan.h"
 #include "soak/workload.h"
 
@@ -31,6 +32,8 @@
 // The users' bound for the recovery after the last fault.
 constexpr double recovery_ms = 12000;
 constexpr double watch_interval_ms = 50;
+// A process that ends within this time of a disruption is not counted.
+constexpr double disturbed_end_ms = 1000;
 constexpr std::size_t listed_violations = 3;
 
 struct run_options {
@@ -66,7 +69,8 @@
 /// Notes the daemons that end by themselves while it exists.
 class end_watch {
 public:
-    explicit end_watch(deployment& all) : m_all{all}, m_thread{[this] { run(); }} {}
+    end_watch(deployment& all, const disturbance_log& disturbances)
+        : m_all{all}, m_disturbances{disturbances}, m_thread{[this] { run(); }} {}
     end_watch(const end_watch&) = delete;
     end_watch& operator=(const end_watch&) = delete;
     ~end_watch() { stop(); }
@@ -84,7 +88,11 @@
             for (daemon_process& item : m_all.daemons) {
                 if (const auto how = deployment::own_end(item)) {
                     note("ended by itself: " + item.host + " " + *how);
-                    m_found.push_back({"END", item.host + " ended by itself: " + *how});
+                    const double now = now_ms();
+                    if (!m_disturbances.covers(item.host, "", now - disturbed_end_ms, now)) {
+                        m_found.push_back(
+                            {"END", item.host + " ended by itself: " + *how, "", "", now});
+                    }
                     m_all.start(item);
                 }
             }
@@ -93,6 +101,7 @@
     }
 
     deployment& m_all;
+    const disturbance_log& m_disturbances;
     std::vector<violation> m_found;
     std::atomic<bool> m_running = true;
     std::thread m_thread;
@@ -119,6 +128,7 @@
         }
     }
     if (!found.empty()) {
+        write_excerpts(options.folder, found);
         std::cout << "  record: " << options.folder << '\n';
     }
 }
@@ -138,7 +148,7 @@
         return exit_not_run;
     }
     disturbance_log disturbances;
-    end_watch ends{all};
+    end_watch ends{all, disturbances};
     workload clients{all, options.profile.load, options.seed};
     clients.start();
     sleep_ms(calm_ms);
--- a/soak/soak_plan.cc
+++ b/soak/soak_plan.cc
@@ -14,7 +14,7 @@
 // The first faults begin after this time.
 constexpr double first_fault_ms = 500;
 
-constexpr std::array<std::pair<fault_kind, std::string_view>, 28> names{{
+constexpr std::array<std::pair<fault_kind, std::string_view>, 29> names{{
     {promotion_answers_late, "promotion_answers_late"},
     {promotion_effects_late, "promotion_effects_late"},
     {promotion_unanswered, "promotion_unanswered"},
@@ -42,6 +42,7 @@
     {host_term, "host_term"},
     {host_freeze, "host_freeze"},
     {host_reload, "host_reload"},
+    {hosts_killed, "hosts_killed"},
     {burst, "burst"},
 }};
 
@@ -130,6 +131,7 @@
         {host_term, 15000, 100, 1500},
         {host_freeze, 6000, 200, 3000},
         {host_reload, 15000, 1, 1},
+        {hosts_killed, 40000, 300, 2000, 0.3, 1},
         {config_change, 10000, 1, 1},
         {burst, 12000, 1000, 4000, 10, 30},
     };
--- a/soak/soak_plan.h
+++ b/soak/soak_plan.h
@@ -41,7 +41,8 @@
     host_term,
     host_freeze,
     host_reload,
-    burst,  ///< Value: clients that come in addition.
+    hosts_killed,  ///< Value: share of the hosts, at the same moment.
+    burst,         ///< Value: clients that come in addition.
 };
 
 std::string_view to_string(fault_kind kind);
