Give each daemon its own addresses of the instances

Cause: an instance found its caller in the tables of /proc for each connection. Change: the store shows each daemon addresses of its own, so that the listening port names the caller. A watch that waits gets no 410 for changes that it has seen.

--- a/soak/deployment.cc
+++ b/soak/deployment.cc
@@ -164,7 +164,20 @@
     added.promotion_port = promotions.add_caller(added.host);
 }
 
+/// Each daemon sees addresses of its own, so that servers know who is connected to them.
+void deployment::connect_links() {
+    for (const daemon_process& host : daemons) {
+        for (const auto& group : services) {
+            for (const auto& item : group->instances) {
+                keys.set_address(host.store_caller, address_of(item->port()),
+                                 address_of(item->add_caller(host.host)));
+            }
+        }
+    }
+}
+
 void deployment::start_all() {
+    connect_links();
     for (daemon_process& item : daemons) {
         start(item);
     }
@@ -209,7 +222,6 @@
             ::_exit(127);
         }
     });
-    add_caller(pid, item.host);
     item.is_ending = false;
     item.started_at = now_ms();
     item.pid = pid;
@@ -233,7 +245,6 @@
     ::kill(pid, SIGKILL);
     ::waitpid(pid, nullptr, 0);
     item.pid = 0;
-    remove_caller(pid);
 }
 
 void deployment::terminate(daemon_process& item) {
@@ -254,7 +265,6 @@
     }
     note("ended " + item.host);
     item.pid = 0;
-    remove_caller(pid);
 }
 
 std::optional<std::string> deployment::own_end(daemon_process& item) {
@@ -264,7 +274,6 @@
         return std::nullopt;
     }
     item.pid = 0;
-    remove_caller(pid);
     return WIFSIGNALED(status) ? "signal " + std::to_string(WTERMSIG(status))
                                : "exit status " + std::to_string(WEXITSTATUS(status));
 }
--- a/soak/deployment.h
+++ b/soak/deployment.h
@@ -85,6 +85,7 @@
     void stop();
 
 private:
+    void connect_links();
     [[nodiscard]] std::string write_settings(const daemon_process& item) const;
 
     std::string m_folder;
--- a/soak/instance.cc
+++ b/soak/instance.cc
@@ -29,7 +29,7 @@
       m_zone{std::move(zone)},
       m_born{unix_ms()},
       m_random{static_cast<unsigned>(m_id.size())},
-      m_listener{[this](int fd) { serve(fd); }, port} {
+      m_listener{[this](int fd) { serve(fd, ""); }, port} {
     std::thread{[this] { beat(); }}.detach();
 }
 
@@ -42,6 +42,9 @@
     ++m_life;
     note("crash " + m_id);
     m_listener.stop();
+    for (const auto& [host, at] : m_host_listeners) {
+        at->stop();
+    }
     for (const int fd : m_connections) {
         ::shutdown(fd, SHUT_RDWR);
     }
@@ -62,6 +65,9 @@
         note("restart " + m_id + (is_primary ? " primary" : " replica"));
     }
     m_listener.resume();
+    for (const auto& [host, at] : m_host_listeners) {
+        at->resume();
+    }
     m_crashed = false;
     report();
 }
@@ -106,7 +112,19 @@
     }
 }
 
-void instance::take_over_log(const instance& ended) {
+std::uint16_t instance::add_caller(const std::string& host) {
+    auto& added = m_host_listeners[host];
+    if (added == nullptr) {
+        added = std::make_unique<listener>([this, host](int fd) { serve(fd, host); });
+    }
+    return added->port();
+}
+
+void instance::take_over(const instance& ended) {
+    for (const auto& [host, at] : ended.m_host_listeners) {
+        m_host_listeners[host] = std::make_unique<listener>(
+            [this, name = host](int fd) { serve(fd, name); }, at->port());
+    }
     m_log = ended.m_log;
     m_apply_at.assign(m_log.size(), 0);
     m_term = ended.m_term;
--- a/soak/instance.h
+++ b/soak/instance.h
@@ -6,6 +6,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <optional>
 #include <random>
@@ -40,7 +41,10 @@
 
     [[nodiscard]] const std::string& id() const { return m_id; }
     [[nodiscard]] const std::string& zone() const { return m_zone; }
+    /// The address in the list; a caller connects to its own port.
     [[nodiscard]] std::uint16_t port() const { return m_listener.port(); }
+    /// A port of one host, by which the instance knows its connections.
+    std::uint16_t add_caller(const std::string& host);
     [[nodiscard]] bool is_running() const { return !m_crashed; }
     [[nodiscard]] const std::vector<commit>& log() const { return m_log; }
     [[nodiscard]] std::uint64_t term() const { return m_term; }
@@ -61,7 +65,7 @@
 
     // Called under the service's lock.
     void become_primary();
-    void take_over_log(const instance& ended);
+    void take_over(const instance& ended);
     /// Follows a reachable primary. True when the listed role changes.
     bool keep_in_touch();
 
@@ -98,7 +102,7 @@
     void set_role(bool primary);
     [[nodiscard]] bool listed_role() const;
 
-    void serve(int fd);
+    void serve(int fd, const std::string& host);
     bool is_cut_from(const std::string& host);
     bool is_answer_lost();
     [[nodiscard]] bool is_over(const session& open) const { return m_life != open.life; }
@@ -144,6 +148,7 @@
     std::string m_reported;  ///< The last entry without its `seq`.
     std::minstd_rand m_random;
     listener m_listener;
+    std::map<std::string, std::unique_ptr<listener>> m_host_listeners;
 };
 
 }  // namespace jasminelead::soak
--- a/soak/instance_statements.cc
+++ b/soak/instance_statements.cc
@@ -21,9 +21,9 @@
 
 }  // namespace
 
-void instance::serve(int fd) {
+void instance::serve(int fd, const std::string& host) {
     session open;
-    open.host = caller_of(fd);
+    open.host = host;
     {
         const std::lock_guard lock{m_service.lock};
         open.life = m_life;
@@ -102,7 +102,7 @@
     sleep_ms(handshake_ms);
     lock.lock();
     --m_busy;
-    m_free_slot.notify_one();
+    m_free_slot.notify_all();
     started = true;
     return "READY I " + point().text() + "\r\n";
 }
@@ -255,7 +255,7 @@
         answer = run(lock, open, item);
     }
     --m_busy;
-    m_free_slot.notify_one();
+    m_free_slot.notify_all();
     return answer;
 }
 
--- a/soak/service.cc
+++ b/soak/service.cc
@@ -29,7 +29,7 @@
 instance& service::replace(instance& ended, const std::string& id) {
     auto added = std::make_unique<instance>(*this, m_store, id, ended.zone(), ended.port());
     const std::lock_guard guard{lock};
-    added->take_over_log(ended);
+    added->take_over(ended);
     if (leader == &ended) {
         leader = added.get();
     }
--- a/soak/sockets.cc
+++ b/soak/sockets.cc
@@ -7,15 +7,10 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
-#include <filesystem>
-#include <fstream>
-#include <iterator>
-#include <map>
 #include <mutex>
-#include <sstream>
 #include <thread>
-#include <vector>
 
 #include "soak/clock.h"
 
@@ -42,35 +37,6 @@
     ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
 }
 
-struct caller_table {
-    std::mutex lock;
-    std::map<pid_t, std::string> hosts;
-};
-
-caller_table& callers() {
-    static caller_table table;
-    return table;
-}
-
-/// The name that /proc gives the socket with this local port.
-std::string socket_name(std::uint16_t port) {
-    std::array<char, 16> local{};
-    std::snprintf(local.data(), local.size(), ":%04X", port);
-    std::string name;
-    std::ifstream table{"/proc/self/net/tcp"};
-    for (std::string line; std::getline(table, line);) {
-        if (line.find(local.data()) == std::string::npos) {
-            continue;
-        }
-        std::istringstream words{line};
-        const std::vector<std::string> columns{std::istream_iterator<std::string>{words}, {}};
-        if (columns.size() > 9 && columns[1].ends_with(local.data()) && columns[3] == "01") {
-            name = "socket:[" + columns[9] + "]";
-        }
-    }
-    return name;
-}
-
 }  // namespace
 
 int listen_on(std::uint16_t& port) {
@@ -131,43 +97,6 @@
     return true;
 }
 
-void add_caller(pid_t pid, const std::string& host) {
-    const std::lock_guard lock{callers().lock};
-    callers().hosts[pid] = host;
-}
-
-void remove_caller(pid_t pid) {
-    const std::lock_guard lock{callers().lock};
-    callers().hosts.erase(pid);
-}
-
-std::string caller_of(int fd) {
-    sockaddr_in peer{};
-    socklen_t size = sizeof peer;
-    if (::getpeername(fd, reinterpret_cast<sockaddr*>(&peer), &size) != 0) {
-        return "";
-    }
-    const std::string name = socket_name(ntohs(peer.sin_port));
-    std::map<pid_t, std::string> hosts;
-    {
-        const std::lock_guard lock{callers().lock};
-        hosts = callers().hosts;
-    }
-    for (const auto& [pid, host] : hosts) {
-        std::error_code error;
-        const std::string folder = "/proc/" + std::to_string(pid) + "/fd";
-        // A descriptor or a process may go at any time.
-        auto item = std::filesystem::directory_iterator{folder, error};
-        for (; !error && item != std::filesystem::directory_iterator{}; item.increment(error)) {
-            std::error_code is_closed;
-            if (std::filesystem::read_symlink(item->path(), is_closed).string() == name) {
-                return host;
-            }
-        }
-    }
-    return "";
-}
-
 std::optional<std::string> stream_reader::until(const std::string& end, double deadline) {
     for (;;) {
         const std::size_t at = m_bytes.find(end);
--- a/soak/sockets.h
+++ b/soak/sockets.h
@@ -1,7 +1,5 @@
 #pragma once
 
-#include <sys/types.h>
-
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -21,12 +19,6 @@
 int connect_to(std::uint16_t port);
 bool send_all(int fd, const std::string& bytes);
 
-/// Names the process of a daemon, so that servers can tell who is connected to them.
-void add_caller(pid_t pid, const std::string& host);
-void remove_caller(pid_t pid);
-/// The host whose process is at the other end of a connection; empty when it is none of them.
-std::string caller_of(int fd);
-
 /// Reads up to an end mark or a size; empty when the connection ends or the time is over.
 class stream_reader {
 public:
--- a/soak/store.cc
+++ b/soak/store.cc
@@ -42,12 +42,18 @@
     {
         const std::lock_guard lock{m_lock};
         m_modes.push_back(store_mode::serves);
+        m_addresses.emplace_back();
     }
     m_listeners.push_back(std::make_unique<http_listener>(
         [this, index](const http_request& request) { return answer(index, request); }));
     return m_listeners.back()->port();
 }
 
+void store::set_address(std::size_t caller, const std::string& address, const std::string& shown) {
+    const std::lock_guard lock{m_lock};
+    m_addresses[caller][address] = shown;
+}
+
 void store::set_mode(std::size_t caller, store_mode mode) {
     const std::lock_guard lock{m_lock};
     m_modes[caller] = mode;
@@ -165,9 +171,25 @@
     m_changed.notify_all();
 }
 
-json::object store::to_json(const std::string& key, const item& entry) {
+std::string store::as_seen(std::size_t caller, const std::string& value) {
+    static const std::string loopback = "127.0.0.1:";
+    const auto& addresses = m_addresses[caller];
+    std::string result = value;
+    for (std::size_t at = result.find(loopback); at != std::string::npos;
+         at = result.find(loopback, at + 1)) {
+        const std::size_t end = result.find_first_not_of("0123456789", at + loopback.size());
+        const std::size_t size = std::min(end, result.size()) - at;
+        const auto found = addresses.find(result.substr(at, size));
+        if (found != addresses.end()) {
+            result.replace(at, size, found->second);
+        }
+    }
+    return result;
+}
+
+json::object store::to_json(std::size_t caller, const std::string& key, const item& entry) {
     return {{"key", key},
-            {"value", to_base64(entry.value)},
+            {"value", to_base64(as_seen(caller, entry.value))},
             {"rev", entry.rev},
             {"created", entry.created},
             {"lease", entry.lease}};
@@ -212,10 +234,10 @@
 
 http_answer store::execute(lock_type& lock, std::size_t caller, const http_request& request) {
     if (request.path == "/jasminelead/kv-key") {
-        return get(request);
+        return get(caller, request);
     }
     if (request.path == "/jasminelead/kv-range") {
-        return range(request);
+        return range(caller, request);
     }
     if (request.path == "/jasminelead/kv-watch") {
         return watch(lock, caller, request);
@@ -226,18 +248,18 @@
     return lease_call(request);
 }
 
-http_answer store::get(const http_request& request) {
+http_answer store::get(std::size_t caller, const http_request& request) {
     const std::string key = request.query.at("key");
     const auto found = m_items.find(key);
     if (found == m_items.end()) {
         return {404, "{}", answer_fate::sent};
     }
-    json::object body = to_json(key, found->second);
+    json::object body = to_json(caller, key, found->second);
     body["storeRevision"] = m_rev;
     return ok(body);
 }
 
-http_answer store::range(const http_request& request) {
+http_answer store::range(std::size_t caller, const http_request& request) {
     const std::string prefix = request.query.at("prefix");
     const auto after = request.query.find("after");
     const std::string first = after == request.query.end() ? "" : after->second;
@@ -255,7 +277,7 @@
         if (is_truncated) {
             break;
         }
-        items.push_back(to_json(key, entry));
+        items.push_back(to_json(caller, key, entry));
     }
     return ok({{"items", std::move(items)}, {"truncated", is_truncated}, {"storeRevision", m_rev}});
 }
@@ -264,11 +286,12 @@
     const std::string prefix = request.query.at("prefix");
     const std::uint64_t after = std::stoull(request.query.at("after"));
     const double end = now_ms() + std::stod(request.query.at("waitMs"));
+    // A watch that waits has seen all changes so far.
+    if (after < m_forgotten) {
+        return {forgotten_status, "{}", answer_fate::sent};
+    }
     json::array events;
     for (;;) {
-        if (after < m_forgotten) {
-            return {forgotten_status, "{}", answer_fate::sent};
-        }
         const auto first = std::upper_bound(
             m_events.begin(), m_events.end(), after,
             [](std::uint64_t rev, const event& change) { return rev < change.rev; });
@@ -278,7 +301,7 @@
             }
             events.push_back(
                 at->written
-                    ? to_json(at->key, *at->written)
+                    ? to_json(caller, at->key, *at->written)
                     : json::object{{"key", at->key}, {"rev", at->rev}, {"tombstone", true}});
         }
         const double left = end - now_ms();
--- a/soak/store.h
+++ b/soak/store.h
@@ -43,6 +43,8 @@
 
     /// An address at which one daemon reaches the store. Each daemon gets its own.
     std::uint16_t add_caller();
+    /// The caller sees `shown` wherever a value has `address`.
+    void set_address(std::size_t caller, const std::string& address, const std::string& shown);
     void set_mode(std::size_t caller, store_mode mode);
     /// Sets the mode of all callers.
     void set_modes(store_mode mode);
@@ -80,12 +82,13 @@
     void keep_time();
     void end_lease(std::uint64_t id);
     [[nodiscard]] bool serves_nobody() const;
-    static boost::json::object to_json(const std::string& key, const item& entry);
+    boost::json::object to_json(std::size_t caller, const std::string& key, const item& entry);
+    std::string as_seen(std::size_t caller, const std::string& value);
 
     http_answer answer(std::size_t caller, const http_request& request);
     http_answer execute(lock_type& lock, std::size_t caller, const http_request& request);
-    http_answer get(const http_request& request);
-    http_answer range(const http_request& request);
+    http_answer get(std::size_t caller, const http_request& request);
+    http_answer range(std::size_t caller, const http_request& request);
     http_answer watch(lock_type& lock, std::size_t caller, const http_request& request);
     http_answer transact(const http_request& request);
     http_answer lease_call(const http_request& request);
@@ -102,6 +105,7 @@
     store_trouble m_trouble;
     std::minstd_rand m_random{1};
     std::vector<store_mode> m_modes;
+    std::vector<std::map<std::string, std::string>> m_addresses;  ///< As each caller sees them.
     std::vector<std::unique_ptr<http_listener>> m_listeners;
 };
 
