Let a host advertise another address for its peer interface

Cause: the address in a host's record is the one that the daemon listens on, so that a port forwarder or a translated address in front of the peer interface was not possible.

Change: the optional setting `peer_advertised` is written into the record in place of `peer`; the daemon still listens on `peer`. It is checked like the other addresses, an empty one included, and takes effect at the next start, which SIGHUP reports. Both addresses are left out of the seeds, because a list of seeds may hold either. Deployments that do not set it are unchanged.

--- a/proxy/peer_sync.cc
+++ b/proxy/peer_sync.cc
@@ -34,16 +34,15 @@
       m_sync{sync},
       m_counters{counters},
       m_self{options.host},
-      m_own_address{options.peer},
-      m_seeds{options.seeds},
+      m_own_addresses{options.peer, advertised_peer_address(options)},
       m_pool{fleet.home().io(), max_idle_connections},
       m_answered{fleet.home().io()} {
-    std::erase(m_seeds, m_own_address);
+    set_seeds(options.seeds);
 }
 
 void peer_sync::set_seeds(const std::vector<std::string>& seeds) {
     m_seeds = seeds;
-    std::erase(m_seeds, m_own_address);
+    std::erase_if(m_seeds, [this](const auto& seed) { return m_own_addresses.contains(seed); });
 }
 
 void peer_sync::start() {
--- a/proxy/peer_sync.h
+++ b/proxy/peer_sync.h
@@ -91,7 +91,7 @@
     store_sync& m_sync;
     daemon::metrics& m_counters;
     host_id m_self;
-    std::string m_own_address;
+    std::set<std::string> m_own_addresses;  ///< Not contacted if listed as seeds.
     std::vector<std::string> m_seeds;
     daemon::http_pool m_pool;
     wait_list m_answered;
--- a/proxy/session_daemon.cc
+++ b/proxy/session_daemon.cc
@@ -223,7 +223,9 @@
 bool session_daemon::needs_restart(const settings& loaded) const {
     return loaded.host != m_settings.host || loaded.data_centre != m_settings.data_centre ||
            loaded.listen != m_settings.listen || loaded.readiness != m_settings.readiness ||
-           loaded.peer != m_settings.peer || loaded.metrics_port != m_settings.metrics_port;
+           loaded.peer != m_settings.peer ||
+           advertised_peer_address(loaded) != advertised_peer_address(m_settings) ||
+           loaded.metrics_port != m_settings.metrics_port;
 }
 
 void session_daemon::stop_gracefully() {
--- a/proxy/settings.cc
+++ b/proxy/settings.cc
@@ -42,6 +42,10 @@
         }
         return value;
     }
+    /// An address that may be absent, but not malformed.
+    std::string optional_address(const char* name) {
+        return find(name) ? address(name) : std::string{};
+    }
     double number_or(const char* name, double fallback, double min, double max) {
         const YAML::Node node = find(name);
         if (!node) {
@@ -99,6 +103,7 @@
     result.metrics_port =
         static_cast<std::uint16_t>(members.number_or("metrics_port", 0, 0, max_port));
     result.peer = members.address("peer");
+    result.peer_advertised = members.optional_address("peer_advertised");
     result.seeds = members.list("seeds");
     result.store = members.address("store");
     result.promotion = members.text_or("promotion", "");
@@ -110,6 +115,10 @@
 
 }  // namespace
 
+const std::string& advertised_peer_address(const settings& options) {
+    return options.peer_advertised.empty() ? options.peer : options.peer_advertised;
+}
+
 std::variant<settings, settings_errors> parse_settings(const std::string& yaml) {
     YAML::Node document;
     try {
--- a/proxy/settings.h
+++ b/proxy/settings.h
@@ -20,6 +20,7 @@
     std::string address;             ///< IP address of the host.
     std::uint16_t metrics_port = 0;  ///< Port on `address`; 0 disables the page.
     std::string peer;                ///< Address for other daemons, IP address and port.
+    std::string peer_advertised;     ///< Address at which other hosts reach `peer`; empty: `peer`.
     std::vector<std::string> seeds;  ///< Addresses of daemons to contact while no peer is known.
     std::string store;
     std::string promotion;  ///< Address of the promotion service; empty if there is none.
@@ -27,6 +28,9 @@
     std::string log_level = "info";
 };
 
+/// The address that other hosts use for this host's peer interface.
+const std::string& advertised_peer_address(const settings& options);
+
 /// One message per error.
 using settings_errors = std::vector<std::string>;
 
--- a/proxy/store_sync.cc
+++ b/proxy/store_sync.cc
@@ -37,10 +37,14 @@
       m_mirror{mirror},
       m_counters{counters},
       m_self{options.host},
-      m_own_record{options.host,         daemon::wall_clock_incarnation(),
-                   options.peer,         options.data_centre,
-                   options.cpu_share,    {},
-                   fleet.lease.length(), true},
+      m_own_record{options.host,
+                   daemon::wall_clock_incarnation(),
+                   advertised_peer_address(options),
+                   options.data_centre,
+                   options.cpu_share,
+                   {},
+                   fleet.lease.length(),
+                   true},
       m_store{fleet.home().io(), options.store, counters} {}
 
 void store_sync::start() {
--- a/test/proxy_settings_test.cc
+++ b/test/proxy_settings_test.cc
@@ -25,6 +25,25 @@
     CHECK(read.promotion.empty());
 }
 
+// Guards against a record with the address behind a port forwarder, which other hosts cannot or
+// must not use, and against a change of existing deployments, which do not set an address.
+TEST_CASE("the peer interface can be advertised at another address than it listens on") {
+    const auto plain = parse_settings(complete);
+    REQUIRE(std::holds_alternative<settings>(plain));
+    CHECK(advertised_peer_address(std::get<settings>(plain)) == "10.0.0.1:82");
+    const auto forwarded = parse_settings(complete + "peer_advertised: \"10.0.0.7:92\"\n");
+    REQUIRE(std::holds_alternative<settings>(forwarded));
+    CHECK(std::get<settings>(forwarded).peer == "10.0.0.1:82");
+    CHECK(advertised_peer_address(std::get<settings>(forwarded)) == "10.0.0.7:92");
+    for (const char* malformed : {"there", "\"10.0.0.7\"", "\"\"", "[]"}) {
+        const auto refused =
+            parse_settings(complete + "peer_advertised: " + std::string{malformed} + "\n");
+        CAPTURE(malformed);
+        REQUIRE(std::holds_alternative<settings_errors>(refused));
+        CHECK(std::get<settings_errors>(refused).size() == 1);
+    }
+}
+
 // Guards against a misspelt setting being ignored without an error.
 TEST_CASE("every error in the settings is reported") {
     const auto result = parse_settings(complete + "speling: 1\nmetrics_port: 70000\n");
--- a/test/session_daemon_test.cc
+++ b/test/session_daemon_test.cc
@@ -266,3 +266,32 @@
     caller pay{f.all.port(without_connections), "pay"};
     CHECK(pay.query("WRITE m2 v2") == "DONE signed-by-i-a|READY I -|");
 }
+
+// Guards against other hosts contacting the address behind a port forwarder: the record must hold
+// the advertised address, while the daemon listens on its own.
+TEST_CASE("the record of a host holds the advertised address of its peer interface") {
+    support::session_platform platform;
+    proxy::settings options;
+    options.host = host_id{"h1"};
+    options.data_centre = data_centre_id{"dc"};
+    options.listen = "127.0.0.1:0";
+    options.readiness = free_address();
+    options.address = "127.0.0.1";
+    options.peer = free_address();
+    options.peer_advertised = free_address();
+    options.store = platform.address();
+    options.stop_grace = 400_ms;
+    proxy::session_daemon daemon{options};
+    REQUIRE_FALSE(daemon.start());
+    const std::string key = proxy::host_key(options.host);
+    for (int i = 0; i < 500 && !platform.value(key); ++i) {
+        std::this_thread::sleep_for(std::chrono::milliseconds{10});
+    }
+    const auto record = proxy::decode_host_record(platform.value(key).value_or(""));
+    REQUIRE(record);
+    CHECK(record->peer_address == options.peer_advertised);
+    const auto listening = jasminelead::daemon::parse_address(options.peer);
+    boost::asio::io_context io;
+    boost::asio::ip::tcp::socket socket{io};
+    CHECK_NOTHROW(socket.connect(*listening));
+}
