--- a/Makefile
+++ b/Makefile
@@ -16,6 +16,7 @@
 # Fixed seeds keep the verdict the same in every run.
 check: build
 	RC_PARAMS="seed=1" support/run-tests $(BUILD)
+	support/run-process-soak $(BUILD)
 
 demo: build
 	$(BUILD)/jasminelead-demo
