Route each host's links of the soak through proxies

Cause: the stand-ins could silence an instance for a host, but not delay, reset or cut one way, and no link between hosts. Change: each host reaches the store, the promotion call, the instances and the other hosts by a proxy of its own; faults concern one link, a host or a data centre. A commit is left out of rule ONE only if the sender was frozen, or its link to that instance disturbed, between 300 ms before the statement arrived and the commit.

--- a/review/build.sh
+++ b/review/build.sh
@@ -4,5 +4,6 @@
 cd "$(dirname "$0")/.."
 mkdir -p target
 "${CXX:-g++}" -std=c++20 -O1 -Wall -Wextra -pthread -o target/review-cases \
-    -I. review/standins/cases.cpp soak/{client,clock,deployment,http,instance}.cc \
-    soak/{instance_statements,promotion_call,service,sockets,store}.cc -lboost_json
+    -I. -Iinclude review/standins/cases.cpp \
+    soak/{client,clock,deployment,host_links,http,instance,instance_statements}.cc \
+    soak/{link_proxy,process_finder,promotion_call,service,sockets,store}.cc -lboost_json
--- a/soak/deployment.cc
+++ b/soak/deployment.cc
@@ -28,6 +28,8 @@
 constexpr double ready_timeout_ms = 1000;
 constexpr double probe_interval_ms = 100;
 constexpr std::size_t max_seeds = 3;
+// Two hosts of each of three data centres read the store themselves.
+constexpr std::size_t max_hosts_with_peer_links = 6;
 constexpr std::size_t preloaded_commits = 5;
 constexpr std::uint32_t timeout_variations = 5;
 constexpr int timeout_step_ms = 100;
@@ -166,13 +168,34 @@
 
 /// Each daemon sees addresses of its own, so that servers know who is connected to them.
 void deployment::connect_links() {
-    for (const daemon_process& host : daemons) {
+    for (daemon_process& host : daemons) {
+        host.store_port = links.add({host.host, store_target}, host.store_port);
+        host.promotion_port = links.add({host.host, promotion_target}, host.promotion_port);
         for (const auto& group : services) {
             for (const auto& item : group->instances) {
-                keys.set_address(host.store_caller, address_of(item->port()),
-                                 address_of(item->add_caller(host.host)));
+                const std::uint16_t port = links.add({host.host, instance_target(item->port())},
+                                                     item->add_caller(host.host));
+                keys.set_address(host.store_caller, address_of(item->port()), address_of(port));
             }
         }
+        connect_peers(host);
+    }
+}
+
+/// The address of a peer is seen in the records of the store and in the seeds. With more hosts,
+/// most of them learn it from another host, so that a link of their own cannot be told apart.
+void deployment::connect_peers(daemon_process& host) {
+    for (std::size_t i = 0; i < daemons.size(); ++i) {
+        const daemon_process& peer = daemons[i];
+        std::string address = address_of(peer.control);
+        if (&peer != &host && daemons.size() <= max_hosts_with_peer_links) {
+            const std::string own = address_of(links.add({host.host, peer.host}, peer.control));
+            keys.set_address(host.store_caller, address, own);
+            address = own;
+        }
+        if (i < max_seeds) {
+            host.seeds += (i == 0 ? "" : ",") + address;
+        }
     }
 }
 
@@ -185,16 +208,12 @@
 
 /// The settings as the template of the deploy file renders them.
 std::string deployment::write_settings(const daemon_process& item) const {
-    std::string seeds;
-    for (std::size_t i = 0; i < daemons.size() && i < max_seeds; ++i) {
-        seeds += (i == 0 ? "" : ",") + address_of(daemons[i].control);
-    }
     const std::string path = m_folder + "/" + item.host + ".yaml";
     std::ofstream{path} << "host: \"" << item.host << "\"\ndata_centre: \"" << item.zone
                         << "\"\ncpu_share: 0.25\nlisten: \"" << address_of(item.front)
                         << "\"\nreadiness: \"" << address_of(item.ready)
                         << "\"\naddress: \"127.0.0.1\"\nmetrics_port: " << item.metrics
-                        << "\npeer: \"" << address_of(item.control) << "\"\nseeds: \"" << seeds
+                        << "\npeer: \"" << address_of(item.control) << "\"\nseeds: \"" << item.seeds
                         << "\"\nstore: \"" << address_of(item.store_port) << "\"\npromotion: \""
                         << address_of(item.promotion_port) << "\"\nstop_grace_ms: 6e3\n";
     return path;
--- a/soak/deployment.h
+++ b/soak/deployment.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "soak/host_links.h"
 #include "soak/promotion_call.h"
 #include "soak/service.h"
 #include "soak/store.h"
@@ -26,8 +27,9 @@
     std::uint16_t ready = 0;
     std::uint16_t control = 0;
     std::uint16_t metrics = 0;
-    std::uint16_t store_port = 0;
+    std::uint16_t store_port = 0;  ///< By the host's own link, as all that follow.
     std::uint16_t promotion_port = 0;
+    std::string seeds;
     std::size_t store_caller = 0;
     std::atomic<pid_t> pid = 0;
     std::atomic<double> started_at = 0;
@@ -59,6 +61,7 @@
     std::vector<std::unique_ptr<service>> services;
     std::deque<daemon_process> daemons;
     std::vector<route> routes;
+    host_links links;
 
     service& add_service(const std::string& name, const std::vector<std::string>& zones,
                          bool synchronous = false);
@@ -86,6 +89,7 @@
 
 private:
     void connect_links();
+    void connect_peers(daemon_process& host);
     [[nodiscard]] std::string write_settings(const daemon_process& item) const;
 
     std::string m_folder;
--- a/soak/fault_player.cc
+++ b/soak/fault_player.cc
@@ -16,6 +16,16 @@
 constexpr double usual_lag_ms = 60;
 constexpr double replacement_gap_ms = 300;
 constexpr double first_reload_ms = 1000;
+// A condition of many links takes effect one link after the other.
+constexpr double link_change_ms = 50;
+// A connection that has gone silent is in use for at most about this time.
+constexpr double stale_connection_ms = 3000;
+const link_condition both_ways_cut = [] {
+    link_condition result;
+    result.silent_to_target = true;
+    result.silent_to_caller = true;
+    return result;
+}();
 constexpr std::array<store_mode, 4> refusals{store_mode::busy, store_mode::silent,
                                              store_mode::resets, store_mode::limited};
 
@@ -76,6 +86,8 @@
         play_store(fault, at);
     } else if (fault.kind <= answers_lost) {
         play_instance(fault, at);
+    } else if (fault.kind <= data_centre_cut) {
+        play_links(fault, at);
     } else {
         play_host(fault, at);
     }
@@ -121,7 +133,8 @@
         case promotion_refused:
             return hold_member(&promotion_trouble::refused_share);
         case promotion_cut:
-            m_disturbances.add({at.host->host, "", now_ms(), now_ms() + fault.length_ms});
+            m_disturbances.add(
+                {at.host->host, promotion_target, now_ms(), now_ms() + fault.length_ms});
             return hold(fault, at.host->host,
                         [&](bool is_on) { m_all.promotions.set_cut(at.host->host, is_on); });
         default:
@@ -215,24 +228,88 @@
 void fault_player::cut_hosts(const planned_fault& fault, const target& at, double share,
                              double length_ms) {
     std::mt19937 random{fault.target + 1};
-    std::vector<std::string> hosts;
+    std::vector<host_links::link> chosen;
     for (const daemon_process& daemon : m_all.daemons) {
         if (std::uniform_real_distribution<>{0, 1}(random) < share) {
-            hosts.push_back(daemon.host);
+            chosen.emplace_back(daemon.host, instance_target(at.item->port()));
         }
     }
-    const double now = now_ms();
-    {
-        const std::lock_guard lock{at.group->lock};
-        for (const std::string& host : hosts) {
-            at.item->cut_from.insert(host);
-            m_disturbances.add({host, at.item->id(), now, now + length_ms});
-        }
+    hold_links(chosen, both_ways_cut, length_ms);
+}
+
+void fault_player::hold_links(const std::vector<host_links::link>& chosen,
+                              const link_condition& condition, double length_ms) {
+    const double from = now_ms();
+    for (const host_links::link& link : chosen) {
+        m_all.links.disturb(link, condition);
+        note_disturbance(link, from, from + length_ms + link_change_ms);
     }
     sleep_ms(length_ms);
-    const std::lock_guard lock{at.group->lock};
-    for (const std::string& host : hosts) {
-        at.item->cut_from.erase(host);
+    for (const host_links::link& link : chosen) {
+        m_all.links.mend(link, condition);
+    }
+}
+
+void fault_player::note_disturbance(const host_links::link& link, double from, double to) {
+    m_disturbances.add({link.first, link.second, from, to});
+    if (m_hosts.contains(link.second)) {
+        m_disturbances.add({link.second, link.first, from, to});
+    }
+}
+
+/// One link of a host for faults of links; else all that leave the host or the data centre.
+std::vector<host_links::link> fault_player::choose_links(const planned_fault& fault,
+                                                         const target& at) const {
+    const std::string& host = at.host->host;
+    if (fault.kind == host_cut) {
+        return m_all.links.select(
+            [&](const auto& link) { return link.first == host || link.second == host; });
+    }
+    std::map<std::string, std::string> zones;
+    for (const daemon_process& item : m_all.daemons) {
+        zones[item.host] = item.zone;
+    }
+    for (const auto& group : m_all.services) {
+        const std::lock_guard lock{group->lock};
+        for (const auto& item : group->instances) {
+            zones[instance_target(item->port())] = item->zone();
+        }
+    }
+    const auto is_inside = [&](const std::string& name) {
+        const auto found = zones.find(name);
+        return found != zones.end() && found->second == at.host->zone;
+    };
+    if (fault.kind == data_centre_cut) {
+        return m_all.links.select(
+            [&](const auto& link) { return is_inside(link.first) != is_inside(link.second); });
+    }
+    auto own = m_all.links.select([&](const auto& link) { return link.first == host; });
+    std::mt19937 random{fault.target + 1};
+    return {own[random() % own.size()]};
+}
+
+void fault_player::play_links(const planned_fault& fault, const target& at) {
+    const auto chosen = choose_links(fault, at);
+    note("fault " + name_of(fault) + " of " + chosen.front().first + " to " +
+         chosen.front().second + " and " + std::to_string(chosen.size() - 1) + " other links");
+    link_condition condition;
+    switch (fault.kind) {
+        case link_cut_one_way:
+            condition.silent_to_target = fault.target % 2 == 0;
+            condition.silent_to_caller = fault.target % 2 == 1;
+            return hold_links(chosen, condition, fault.length_ms);
+        case link_slow:
+            condition.delay_to_target = duration::from_ms(fault.value);
+            condition.delay_to_caller = duration::from_ms(fault.value);
+            return hold_links(chosen, condition, fault.length_ms);
+        case link_reset:
+            note_disturbance(chosen.front(), now_ms(), now_ms());
+            return m_all.links.reset(chosen.front());
+        case link_stale:
+            note_disturbance(chosen.front(), now_ms(), now_ms() + stale_connection_ms);
+            return m_all.links.silence_open_connections(chosen.front());
+        default:
+            return hold_links(chosen, both_ways_cut, fault.length_ms);
     }
 }
 
--- a/soak/fault_player.h
+++ b/soak/fault_player.h
@@ -34,6 +34,13 @@
     void play_platform(const planned_fault& fault, const target& at);
     void play_store(const planned_fault& fault, const target& at);
     void play_instance(const planned_fault& fault, const target& at);
+    void play_links(const planned_fault& fault, const target& at);
+    [[nodiscard]] std::vector<host_links::link> choose_links(const planned_fault& fault,
+                                                             const target& at) const;
+    /// Keeps links in a condition for a while.
+    void hold_links(const std::vector<host_links::link>& chosen, const link_condition& condition,
+                    double length_ms);
+    void note_disturbance(const host_links::link& link, double from, double to);
     void play_host(const planned_fault& fault, const target& at);
     void kill_hosts(const planned_fault& fault);
     void cut(const planned_fault& fault, const target& at);
--- a/soak/instance.h
+++ b/soak/instance.h
@@ -89,6 +89,7 @@
         std::string rest;  ///< After the verb and the name of a prepared statement.
         std::string text;  ///< As the record shows it.
         std::optional<log_point> after;
+        double arrived = 0;
     };
 
     void beat();
--- a/soak/instance_statements.cc
+++ b/soak/instance_statements.cc
@@ -140,6 +140,7 @@
 
 std::string instance::query(session& open, const std::string& id, const std::string& text) {
     statement item;
+    item.arrived = now_ms();
     item.id = id;
     item.rest = text;
     item.text = text;
@@ -341,8 +342,8 @@
     m_service.add_to_history(added, last_point());
     append(added, 0);
     note("commit " + m_id + " " + item.id + " " + added.point.text() + " for " + open.host);
-    m_service.commits.push_back({now_ms(), m_id, open.host, item.id, std::move(write_ids),
-                                 added.point, m_service.newest_term});
+    m_service.commits.push_back({now_ms(), item.arrived, m_id, port(), open.host, item.id,
+                                 std::move(write_ids), added.point, m_service.newest_term});
     lock.unlock();
     sleep_ms(m_service.network_ms);
     lock.lock();
--- a/soak/judge.cc
+++ b/soak/judge.cc
@@ -134,8 +134,8 @@
             const auto done = std::find_if(
                 m_group.promotions.begin(), m_group.promotions.end(),
                 [&](const promotion_event& event) { return event.term > item.point.term; });
-            const bool is_excluded =
-                m_disturbances.covers(item.host, item.instance, item.at - thaw_ms, item.at);
+            const bool is_excluded = m_disturbances.covers(item.host, instance_target(item.port),
+                                                           item.arrived - thaw_ms, item.at);
             const std::string text = "commit " + item.id + " at " + item.instance + " term " +
                                      std::to_string(item.point.term) + " at " + at_text(item.at) +
                                      " by " + item.host + ", " + at_text(item.at - done->at) +
@@ -164,8 +164,8 @@
             }
             if (call.token < newest) {
                 // A process that is suspended between its check and its call cannot know.
-                const bool is_excluded =
-                    m_disturbances.covers(call.caller, "", call.at - thaw_ms, call.at);
+                const bool is_excluded = m_disturbances.covers(call.caller, promotion_target,
+                                                               call.at - thaw_ms, call.at);
                 const std::string lower =
                     text + ", lower than " + std::to_string(newest) + " seen before";
                 if (is_excluded) {
@@ -365,11 +365,11 @@
     m_items.push_back(item);
 }
 
-bool disturbance_log::covers(const std::string& host, const std::string& instance, double from,
+bool disturbance_log::covers(const std::string& host, const std::string& target, double from,
                              double to) const {
     const std::lock_guard lock{m_lock};
     return std::any_of(m_items.begin(), m_items.end(), [&](const disturbance& item) {
-        return item.host == host && (item.instance.empty() || item.instance == instance) &&
+        return item.host == host && (item.target.empty() || item.target == target) &&
                item.from <= to && item.to >= from;
     });
 }
--- a/soak/judge.h
+++ b/soak/judge.h
@@ -14,7 +14,7 @@
 /// A daemon was frozen, or one of its links was disrupted.
 struct disturbance {
     std::string host;
-    std::string instance;  ///< The other end; empty when the whole host is concerned.
+    std::string target;  ///< The other end of the link; empty when the host itself is concerned.
     double from = 0;
     double to = 0;
 };
@@ -22,8 +22,8 @@
 class disturbance_log {
 public:
     void add(const disturbance& item);
-    /// True when the host's link to the instance was disturbed at some time of the span.
-    [[nodiscard]] bool covers(const std::string& host, const std::string& instance, double from,
+    /// True when the host or its link to the target was disturbed at some time of the span.
+    [[nodiscard]] bool covers(const std::string& host, const std::string& target, double from,
                               double to) const;
 
 private:
--- a/soak/service.h
+++ b/soak/service.h
@@ -46,7 +46,9 @@
 /// A commit that wrote, as the primary made it.
 struct commit_event {
     double at = 0;
+    double arrived = 0;  ///< When the instance received the statement.
     std::string instance;
+    std::uint16_t port = 0;  ///< Of the instance.
     std::string host;
     std::string id;
     std::vector<std::string> write_ids;
--- a/soak/soak_plan.cc
+++ b/soak/soak_plan.cc
@@ -14,7 +14,7 @@
 // The first faults begin after this time.
 constexpr double first_fault_ms = 500;
 
-constexpr std::array<std::pair<fault_kind, std::string_view>, 29> names{{
+constexpr std::array<std::pair<fault_kind, std::string_view>, 36> names{{
     {promotion_answers_late, "promotion_answers_late"},
     {promotion_effects_late, "promotion_effects_late"},
     {promotion_unanswered, "promotion_unanswered"},
@@ -38,6 +38,13 @@
     {lagging, "lagging"},
     {slow, "slow"},
     {answers_lost, "answers_lost"},
+    {link_cut, "link_cut"},
+    {link_cut_one_way, "link_cut_one_way"},
+    {link_slow, "link_slow"},
+    {link_reset, "link_reset"},
+    {link_stale, "link_stale"},
+    {host_cut, "host_cut"},
+    {data_centre_cut, "data_centre_cut"},
     {host_kill, "host_kill"},
     {host_term, "host_term"},
     {host_freeze, "host_freeze"},
@@ -90,6 +97,9 @@
         {isolate, 9000, 1000, 6000, 0.2, 0.8},
         {cut_from_hosts, 8000, 500, 4000, 0.3, 1},
         {host_kill, 12000, 300, 2500},
+        {link_cut, 9000, 300, 5000},
+        {host_cut, 15000, 500, 5000},
+        {link_stale, 8000, 1, 1},
         {host_freeze, 9000, 200, 3000},
         {config_change, 7000, 1, 1},
     };
@@ -127,6 +137,13 @@
         {store_slow, 15000, 1000, 5000, 20, 500},
         {store_answers_lost, 15000, 1000, 4000, 0.05, 0.4},
         {store_forgets, 15000, 1, 1},
+        {link_cut, 4000, 300, 5000},
+        {link_cut_one_way, 5000, 300, 5000},
+        {link_slow, 6000, 500, 5000, 5, 400},
+        {link_reset, 5000, 1, 1},
+        {link_stale, 8000, 1, 1},
+        {host_cut, 15000, 500, 5000},
+        {data_centre_cut, 30000, 500, 5000},
         {host_kill, 10000, 300, 2500},
         {host_term, 15000, 100, 1500},
         {host_freeze, 6000, 200, 3000},
--- a/soak/soak_plan.h
+++ b/soak/soak_plan.h
@@ -36,6 +36,14 @@
     lagging,       ///< Value: ms behind.
     slow,          ///< Value: ms of work a statement.
     answers_lost,  ///< Value: share of the statements that were run.
+    // Of the links of one host, or of all hosts of a data centre.
+    link_cut,  ///< Both ways, in silence.
+    link_cut_one_way,
+    link_slow,  ///< Value: ms each way.
+    link_reset,
+    link_stale,       ///< Open connections go silent for good.
+    host_cut,         ///< All links of a host.
+    data_centre_cut,  ///< All links to other places than the data centre.
     // Of hosts and clients.
     host_kill,
     host_term,
@@ -77,7 +85,7 @@
     double length_ms;
     double value;
     instance_choice instance;
-    std::uint32_t target;  ///< Chooses the service, the instance and the host.
+    std::uint32_t target;  ///< Chooses the service, the instance, the host and the link.
 };
 
 const std::vector<soak_profile>& soak_profiles();
