--- a/soak/process_soak_main.cc
+++ b/soak/process_soak_main.cc
@@ -43,6 +43,7 @@
     unsigned seed = 1;
     std::size_t hosts = 6;
     double length_ms = 0;
+    bool keeps_records = false;
 };
 
 void add_services(deployment& all, const run_options& options) {
@@ -158,6 +159,7 @@
     clients.calm_down();
     sleep_ms(recovery_ms);
     std::vector<violation> found = judge_recovery(all);
+    note("the recovery is judged");
     clients.stop();
     const auto ended = ends.stop();
     all.stop();
@@ -199,7 +201,7 @@
     int status = 0;
     ::waitpid(pid, &status, 0);
     const int result = WIFEXITED(status) ? WEXITSTATUS(status) : exit_not_run;
-    if (result == exit_held) {
+    if (result == exit_held && !options.keeps_records) {
         std::filesystem::remove_all(options.folder);
     }
     return result;
@@ -220,7 +222,8 @@
         "daemon", "program of the daemon",
         cxxopts::value<std::string>()->default_value("build/jasminelead"))(
         "records", "folder of the records of broken seeds",
-        cxxopts::value<std::string>()->default_value("build/soak-records"))("help", "show this");
+        cxxopts::value<std::string>()->default_value("build/soak-records"))(
+        "keep", "keep the records of all seeds")("help", "show this");
     try {
         const auto options = usage.parse(count, values);
         if (options.count("help") > 0) {
@@ -230,6 +233,7 @@
         run_options run;
         run.daemon = options["daemon"].as<std::string>();
         run.hosts = std::clamp<std::size_t>(options["hosts"].as<std::size_t>(), 1, 200);
+        run.keeps_records = options.count("keep") > 0;
         run.length_ms = options["seconds"].as<double>() * 1000;
         const auto name = options["profile"].as<std::string>();
         const auto& profiles = soak_profiles();
--- a/soak/sockets.cc
+++ b/soak/sockets.cc
@@ -19,8 +19,10 @@
 
 constexpr int accept_queue = 512;
 constexpr int lowest_port = 20000;
-constexpr int port_ranges = 300;
-constexpr int ports_per_range = 40;
+// Programs that run at the same time rarely share a range, so that the port of a stopped listener
+// stays free.
+constexpr int port_ranges = 60;
+constexpr int ports_per_range = 200;
 // The port of a restarted endpoint may still be in use by a connection that closes.
 constexpr double listen_retry_ms = 20;
 
@@ -138,7 +140,8 @@
     return true;
 }
 
-listener::listener(handler serve, std::uint16_t port) : m_port{port}, m_serve{std::move(serve)} {
+listener::listener(handler serve, std::uint16_t port)
+    : m_port{port == 0 ? free_port() : port}, m_serve{std::move(serve)} {
     resume();
 }
 
