--- a/test/failover_agent_test.cc
+++ b/test/failover_agent_test.cc
@@ -82,3 +82,17 @@
     CHECK(answer.starts_with("DONE"));
     CHECK(all.unpromoted_commits() == 0);
 }
+
+// Guards against a replacement that is not recorded because this host has just published which
+// endpoints it cannot reach, which changes the record on whose condition it writes.
+TEST_CASE("a host that has just published its view records a replacement at the first attempt") {
+    fleet all;
+    std::this_thread::sleep_for(replacement_allowed_after);
+    all.platform().set_watch_delay(500ms);
+    const int before = all.platform().conflicts();
+    caller pay{all.port(), "pay"};
+    all.endpoint(0).crash();
+    const std::string answer = write_until_replaced(pay, "i-a", 4000ms);
+    CHECK(answer.starts_with("DONE"));
+    CHECK(all.platform().conflicts() == before);
+}
