Confirm a lease only with the records of the host that confirms it

Cause: found by review. A host that applied its own record ahead of its watch asked its peers only for later changes, so that an older mark of another host stayed unknown to it, and the peers' confirmations still prolonged its lease (rule ONE). The lease was also prolonged by a peer that knew a newer record.

Change: the revision of the own record is kept beside the copy of the store's records, which is again filled only in order. The age of a peer's confirmation counts only if this host knows all records of the peer. Peers of builds that do not name their records no longer prolong a lease.

Result: no test shows the order of events.

--- a/proxy/peer_sync.cc
+++ b/proxy/peer_sync.cc
@@ -267,7 +267,11 @@
     if (!answer.is_replacing && knows_all_records_of(answer)) {
         current->granted_by.insert(from);
     }
-    current->recently_confirmed += apply_lease_age(answer, *current) ? 1 : 0;
+    // The responder's confirmation covers its records, so it covers this host's only if they are
+    // the same.
+    if (knows_all_records_of(answer)) {
+        current->recently_confirmed += apply_lease_age(answer, *current) ? 1 : 0;
+    }
 }
 
 /// False if the responder knows a newer record, such as a mark, that its changes did not contain.
--- a/proxy/store_sync.h
+++ b/proxy/store_sync.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <set>
@@ -32,6 +33,10 @@
     [[nodiscard]] platform::store_client& store() { return m_store; }
     [[nodiscard]] record_mirror& records() { return m_mirror; }
     [[nodiscard]] const host_record& own_record() const { return m_own_record; }
+    /// Revision of this host's record, also while the watch has not delivered it yet.
+    [[nodiscard]] revision_number own_revision() const {
+        return std::max(m_own_revision, m_mirror.host_revision(m_self));
+    }
     /// False while a confirmation is not answered for longer than usual, or after the last one
     /// failed.
     [[nodiscard]] bool is_store_answering(instant now) const;
@@ -101,6 +106,7 @@
     daemon::metrics& m_counters;
     host_id m_self;
     host_record m_own_record;
+    revision_number m_own_revision = 0;  ///< As this process wrote it last.
     platform::store_client m_store;
     std::map<group_id, revision_number> m_acknowledged;
     std::map<group_id, revision_number> m_stopped_use;
--- a/proxy/store_sync_registration.cc
+++ b/proxy/store_sync_registration.cc
@@ -123,8 +123,8 @@
 
 bool store_sync::register_host(const std::optional<platform::key_update>& also) {
     platform::store_transaction transaction;
-    const std::string record = encode_host_record(m_own_record);
-    transaction.updates.push_back({host_key(m_self), record, platform::no_lease});
+    transaction.updates.push_back(
+        {host_key(m_self), encode_host_record(m_own_record), platform::no_lease});
     if (also) {
         transaction.updates.push_back(*also);
     }
@@ -132,8 +132,7 @@
     record_store_status(result.fault);
     if (result) {
         m_registered = true;
-        // Records of groups are written on the condition of this revision.
-        m_mirror.apply({host_key(m_self), *result.value, record});
+        m_own_revision = *result.value;
         log_line{log_class::change, "host_registered"}
             .with("incarnation", m_own_record.incarnation)
             .with("unreachable_endpoints", m_own_record.unreachable.size())
--- a/support/session_platform.cc
+++ b/support/session_platform.cc
@@ -6,7 +6,6 @@
 #include <boost/json/serialize.hpp>
 #include <boost/url/parse.hpp>
 #include <chrono>
-#include <thread>
 
 namespace jasminelead::support {
 namespace {
@@ -130,7 +129,6 @@
 std::string session_platform::watch(std::string_view target) {
     constexpr std::chrono::milliseconds max_watch_wait{200};
     const std::uint64_t after = std::stoull("0" + parameter(target, "after"));
-    std::this_thread::sleep_for(m_watch_delay.load());
     std::unique_lock lock{m_lock};
     m_changed.wait_for(lock, max_watch_wait, [&] { return m_revision > after; });
     json::array events;
@@ -156,7 +154,6 @@
         const auto found = m_items.find(key);
         const std::uint64_t present = found == m_items.end() ? 0 : found->second.revision;
         if (present != condition.at("rev").to_number<std::uint64_t>()) {
-            ++m_conflicts;
             return http_reply(412, "{\"items\":[]}");
         }
     }
@@ -182,7 +179,7 @@
         m_promotion(std::string{request.at("service").as_string()},
                     std::string{request.at("id").as_string()});
     }
-    return ok(json::object{});
+    return m_promotions_silent ? "silent" : ok(json::object{});
 }
 
 }  // namespace jasminelead::support
--- a/support/session_platform.h
+++ b/support/session_platform.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <atomic>
-#include <chrono>
 #include <condition_variable>
 #include <cstdint>
 #include <map>
@@ -29,10 +28,8 @@
     using promotion = std::function<void(const std::string& group, const std::string& endpoint)>;
     void on_promotion(promotion callback) { m_promotion = std::move(callback); }
     [[nodiscard]] int promotions() const { return m_promotions; }
-    /// Watches deliver changes this much later.
-    void set_watch_delay(std::chrono::milliseconds delay) { m_watch_delay = delay; }
-    /// Transactions whose conditions did not hold.
-    [[nodiscard]] int conflicts() const { return m_conflicts; }
+    /// Promotions are executed and not answered.
+    void set_promotions_silent(bool silent) { m_promotions_silent = silent; }
 
 private:
     struct item {
@@ -57,8 +54,7 @@
     std::atomic<bool> m_available = true;
     std::atomic<bool> m_stopping = false;
     std::atomic<int> m_promotions = 0;
-    std::atomic<int> m_conflicts = 0;
-    std::atomic<std::chrono::milliseconds> m_watch_delay{};
+    std::atomic<bool> m_promotions_silent = false;
     promotion m_promotion;
     scripted_server m_server;
 };
