Let no endpoint lead in the record's term after a mark

Cause: found by review. A primary that is back under a new id has the term of the record. Besides: a replacement gave up after three quick attempts while a sent promotion was pending; the busy time of the old primary used up that of the handover; a record that changed during the question for a role was taken over without the delay; the first records of groups were asked for before marks were acknowledged.

Change: while a record is changing, only a later term than its own leads; an endpoint with the same term is promoted, which changes nothing if it is the present primary. A replacement goes on for 12 s. An endpoint in the primary's place keeps the record's start of its log.

--- a/include/jasminelead/promotion.h
+++ b/include/jasminelead/promotion.h
@@ -20,11 +20,14 @@
     term_number term = 0;
 };
 
-/// True if the endpoint leads its group, in which `newest` is the newest known term.
-constexpr bool leads(const reported_role& reported, term_number newest) {
-    return reported.role == endpoint_role::primary && reported.term >= newest;
+/// True if the endpoint leads its group, which can be led in `lowest` or a later term.
+constexpr bool leads(const reported_role& reported, term_number lowest) {
+    return reported.role == endpoint_role::primary && reported.term >= lowest;
 }
 
+/// Lowest term in which an endpoint can lead the group. `newest` is the newest term that is known.
+term_number lowest_leader_term(const group_record& record, term_number newest);
+
 /// A promotion is sent at most this long after its mark was sent to the store.
 inline constexpr duration promotion_window = duration::from_ms(3500);
 /// A promotion takes effect within this time after it was sent, or not at all.
--- a/proxy/failover_agent.cc
+++ b/proxy/failover_agent.cc
@@ -112,7 +112,9 @@
     }
     m_running.insert(group);
     m_fleet.home().spawn([this, group = group, kind, only_by_role, key] {
-        if (only_by_role && !has_lost_role(group)) {
+        const bool is_refuted = only_by_role && !has_lost_role(group);
+        const bool is_changed = m_fleet.lease.record(group)->revision != key.second;
+        if (is_refuted || is_changed) {
             m_due_since.erase(key);
         } else {
             m_peers.set_replacing(true);
--- a/proxy/failover_agent.h
+++ b/proxy/failover_agent.h
@@ -37,8 +37,9 @@
         group_id group;
         group_record record;  ///< As this daemon wrote it last.
         endpoint_id old_primary;
-        term_number term = 0;     ///< Highest term reported by the group's endpoints.
-        bool has_leader = false;  ///< The successor leads already.
+        term_number term = 0;         ///< Highest term reported by the group's endpoints.
+        term_number leader_term = 0;  ///< Lowest term in which an endpoint can lead the group.
+        bool has_leader = false;      ///< The successor leads already.
         std::optional<log_point> taken_over_at;  ///< End of the successor's log.
         replacement kind = replacement::none;
         instant marked_at;           ///< When the mark was sent to the store.
--- a/proxy/failover_agent_replacement.cc
+++ b/proxy/failover_agent_replacement.cc
@@ -20,7 +20,10 @@
 constexpr duration log_handover_timeout = 1_s;
 constexpr duration takeover_timeout = 3_s;
 constexpr duration unused_poll_interval = 20_ms;
-constexpr int max_replacement_attempts = 3;
+// For an endpoint whose slots are all in use.
+constexpr duration busy_timeout = 500_ms;
+// Includes the time until a sent promotion has settled, and another attempt.
+constexpr duration replacement_timeout = 12_s;
 constexpr double ms_per_s = 1000;
 
 void pause(duration length) {
@@ -54,7 +57,7 @@
     transaction.conditions.push_back({group_key(current.group), current.record.revision});
     // Other hosts no longer wait for a host that was removed from the registry, so its write must
     // fail.
-    transaction.conditions.push_back({host_key(m_self), m_sync.records().host_revision(m_self)});
+    transaction.conditions.push_back({host_key(m_self), m_sync.own_revision()});
     transaction.updates.push_back(
         {group_key(current.group), encode_group_record(record), platform::no_lease});
     const auto result = m_sync.store().commit(transaction, to_steady(boot_now() + store_timeout));
@@ -81,7 +84,8 @@
     current.may_be_promoted = known->phase == leadership_phase::changing;
     const revision_number before = known->revision;
     const auto candidates = ask_candidates(group, current.record, current.term);
-    const auto leader = find_leader(candidates, current.term);
+    current.leader_term = lowest_leader_term(current.record, current.term);
+    const auto leader = find_leader(candidates, current.leader_term);
     current.has_leader = leader.has_value();
     const auto chosen = leader ? leader
                                : choose_successor(candidates, voters(group).size(),
@@ -131,7 +135,8 @@
 }
 
 void failover_agent::replace(const group_id& group, replacement kind) {
-    for (int round = 0; round < max_replacement_attempts; ++round) {
+    const instant give_up = boot_now() + replacement_timeout;
+    while (boot_now() < give_up) {
         if (try_replace(group, kind)) {
             return;
         }
@@ -248,15 +253,16 @@
 void failover_agent::hand_over_log(replacement_run& current) {
     const auto pool = m_fleet.pool(current.old_primary);
     const bool may_answer = pool && pool->health().is_reachable();
-    const instant deadline = boot_now() + log_handover_timeout;
-    const status_answer answer = may_answer ? query_status_until(current.old_primary, deadline)
-                                            : status_answer{std::nullopt, "passed_over"};
+    const status_answer answer =
+        may_answer ? query_status_until(current.old_primary, boot_now() + busy_timeout)
+                   : status_answer{std::nullopt, "passed_over"};
     log_status(current.group, "hand_over_log", current.old_primary, answer);
     const auto& last = answer.status;
     if (!last || last->role != endpoint_role::primary) {
         log_step(current, "hand_over_log", "old_primary_silent");
         return;
     }
+    const instant deadline = boot_now() + log_handover_timeout;
     bool complete = false;
     while (!complete && boot_now() < deadline) {
         const auto status = query_status(m_fleet, current.record.successor).status;
@@ -320,7 +326,7 @@
                                            ? reported_role{answer.status->role, answer.status->term}
                                            : reported_role{};
         const bool has_settled = current.accepted_at && is_over;
-        const bool is_effective = leads(reported, current.term) ||
+        const bool is_effective = leads(reported, current.leader_term) ||
                                   (has_settled && reported.role == endpoint_role::primary);
         if (is_effective || is_over) {
             log_status(current.group, "wait_until_leads", successor, answer);
@@ -347,7 +353,9 @@
     record.replaced_revision = 0;
     record.primary = primary;
     record.successor = endpoint_id{};
-    if (current.taken_over_at) {
+    // An endpoint that has taken the primary's place with its term has not taken over its log
+    // there.
+    if (current.taken_over_at && current.term != record.term) {
         record.term = current.term;
         record.taken_over_at = *current.taken_over_at;
     }
--- a/proxy/store_sync_watch.cc
+++ b/proxy/store_sync_watch.cc
@@ -65,8 +65,8 @@
         m_mirror.apply(change);
     }
     advance_watched_revision(result.value->revision);
-    create_missing_records();
     acknowledge_changes();
+    create_missing_records();
     return true;
 }
 
@@ -98,8 +98,8 @@
     advance_watched_revision(from);
     // Most hosts find out here which readers they follow instead of reading the store.
     m_fleet.set_hosts(m_mirror.places(boot_now()));
-    create_missing_records();
     acknowledge_changes();
+    create_missing_records();
     return true;
 }
 
--- a/src/promotion.cc
+++ b/src/promotion.cc
@@ -4,6 +4,13 @@
 
 namespace jasminelead {
 
+/// While the record is changing, a promotion may have raised the term before its endpoint was lost,
+/// so that no other endpoint knows of it.
+term_number lowest_leader_term(const group_record& record, term_number newest) {
+    const bool may_be_raised = record.phase == leadership_phase::changing;
+    return std::max(newest, may_be_raised ? record.term + 1 : record.term);
+}
+
 /// A record that names a primary or another successor ends what other processes have started: they
 /// write it only when no other promotion can take effect.
 void pending_promotions::on_record(const group_id& group, const group_record& record, bool is_own,
@@ -13,6 +20,7 @@
         return;
     }
     state.seen_revision = record.revision;
+    std::erase_if(state.promotions, [now](const auto& item) { return item.second.until <= now; });
     if (record.phase == leadership_phase::led) {
         std::erase_if(state.promotions, [](const auto& item) { return item.second.calls == 0; });
         return;
--- a/test/promotion_test.cc
+++ b/test/promotion_test.cc
@@ -40,6 +40,18 @@
     CHECK_FALSE(leads({endpoint_role::replica, 5}, 4));
 }
 
+// Guards against a former primary that is used because the endpoint that was promoted was lost
+// before any other one learned of its term.
+TEST_CASE("after a mark no endpoint leads in the record's term") {
+    group_record record = led(5, a);
+    record.term = 3;
+    CHECK(lowest_leader_term(record, 3) == 3);
+    CHECK(lowest_leader_term(record, 4) == 4);
+    record.phase = leadership_phase::changing;
+    CHECK(lowest_leader_term(record, 3) == 4);
+    CHECK(lowest_leader_term(record, 6) == 6);
+}
+
 // Guards against a promotion that is executed after another endpoint has been promoted.
 TEST_CASE("no other endpoint is promoted until a sent promotion has settled") {
     pending_promotions pending;
--- a/test/session_fleet.h
+++ b/test/session_fleet.h
@@ -139,6 +139,8 @@
     void delay_promotions(std::chrono::milliseconds delay) { m_promotion_delay = delay; }
     /// The list of endpoints shows each promoted endpoint as the primary.
     void list_promotions() { m_lists_promotions = true; }
+    /// Promotes an endpoint without a call of a host. Returns when the former primary has stopped.
+    void promote_outside(const std::string& id) { promote(id); }
     /// Endpoints of the promotion calls, in their order.
     [[nodiscard]] std::vector<std::string> promotions() {
         const std::lock_guard lock{m_group->lock};
