--- a/soak/fault_player.cc
+++ b/soak/fault_player.cc
@@ -317,7 +317,9 @@
 void fault_player::replace(const planned_fault& fault, service& group, instance& item) {
     item.change([&] { item.is_draining = true; });
     sleep_ms(fault.length_ms);
-    item.leave();
+    if (!item.leave()) {
+        return;
+    }
     sleep_ms(replacement_gap_ms);
     instance& added = group.replace(item, item.id() + "-" + std::to_string(++m_replaced));
     added.change([&] {
--- a/soak/instance.cc
+++ b/soak/instance.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <boost/json.hpp>
 #include <thread>
+#include <utility>
 
 #include "soak/clock.h"
 
@@ -72,10 +73,10 @@
     report();
 }
 
-void instance::leave() {
+bool instance::leave() {
     crash();
     const std::lock_guard lock{m_service.lock};
-    m_has_left = true;
+    return !std::exchange(m_has_left, true);
 }
 
 void instance::change(const std::function<void()>& edit) {
--- a/soak/instance.h
+++ b/soak/instance.h
@@ -54,8 +54,8 @@
     void crash();
     /// Comes back with its log: a replica if another instance was promoted.
     void restart();
-    /// Ends for good.
-    void leave();
+    /// Ends for good; false if it has left already.
+    bool leave();
     /// Changes settings and reports them at once.
     void change(const std::function<void()>& edit);
     /// Fills the log at the start of the day.
