Let the test of a drain wait until its requests are in progress

The drain arrives on a connection of its own, and could be served before the two requests had been read. The kernel of the test then held the first one for ever.

Change: the test drains when the kernel has received both requests. What it checks is unchanged.

--- a/support/fake_kernel.h
+++ b/support/fake_kernel.h
@@ -1,6 +1,10 @@
 #pragma once
 
+#include <atomic>
+#include <cstddef>
+#include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "jasminelead/core_kernel.h"
@@ -11,6 +15,12 @@
 /// Replies to every caller request and completes a drain immediately.
 class fake_kernel : public core_kernel {
 public:
+    /// Number of requests that the kernel has received; read by other threads.
+    using request_counter = std::shared_ptr<std::atomic<std::size_t>>;
+
+    explicit fake_kernel(request_counter received = std::make_shared<std::atomic<std::size_t>>(0))
+        : m_received{std::move(received)} {}
+
     void handle(event input, instant /*now*/, action_list& out) override {
         if (auto* const request = std::get_if<caller_request>(&input)) {
             answer(*request, out);
@@ -31,6 +41,7 @@
     /// A request with the text "hold" gets its reply when one with the text "release" arrives.
     /// Replies to held requests are sent in reverse order.
     void answer(const caller_request& request, action_list& out) {
+        ++*m_received;
         if (request.text == "hold") {
             m_held.push_back(request.id);
             return;
@@ -47,6 +58,7 @@
         }
     }
 
+    request_counter m_received;
     std::vector<request_id> m_held;
 };
 
--- a/test/node_test.cc
+++ b/test/node_test.cc
@@ -1,6 +1,10 @@
 #include "node.h"
 
+#include <atomic>
 #include <catch2/catch.hpp>
+#include <cstddef>
+#include <memory>
+#include <thread>
 
 #include "fake_kernel.h"
 #include "http_test_client.h"
@@ -22,8 +26,10 @@
 
 /// A daemon that listens on a free port.
 struct running_node : node {
-    explicit running_node(const settings& options = test_settings())
-        : node{options, std::make_unique<fake_kernel>()} {
+    explicit running_node(const settings& options = test_settings(),
+                          const fake_kernel::request_counter& received =
+                              std::make_shared<std::atomic<std::size_t>>(0))
+        : node{options, std::make_unique<fake_kernel>(received)} {
         REQUIRE_FALSE(start());
     }
 };
@@ -122,9 +128,14 @@
 
 // Guards against a shutdown that discards requests in progress.
 TEST_CASE("a drain answers the requests in progress") {
-    running_node server;
+    const auto received = std::make_shared<std::atomic<std::size_t>>(0);
+    running_node server{test_settings(), received};
     http_test_client client{server.port()};
     client.send(statement(1, "hold") + statement(2, "get k"));
+    // Both requests have to be in progress when the drain arrives on its own connection.
+    while (*received < 2) {
+        std::this_thread::yield();
+    }
     http_test_client operator_client{server.port()};
     operator_client.send("GET /healthz HTTP/1.1\r\n\r\n" + http_post("/v1/drain", "") +
                          "GET /readyz HTTP/1.1\r\n\r\n");
