Record a primary's position only under a permit that is still valid

What callers saw: reads of old data after a primary was replaced (rule STALE). Found again by review as another place of the incident's cause: a statement about the past that counts as the present.

Cause: the commit of a transaction recorded the position in its answer as one of the present primary, at the time of the commit, under the permit of the transaction's begin. A transaction that wrote nothing ends with success at a primary that was replaced meanwhile.

Change: a position is recorded only if the permit is valid when the answer arrives. The permit names the record's revision, so that the endpoint was the primary when the statement was sent.

--- a/proxy/statement_router.cc
+++ b/proxy/statement_router.cc
@@ -325,10 +325,13 @@
     return true;
 }
 
+/// A valid permit at the answer shows that the endpoint was the primary when the statement was
+/// sent: a permit that was valid before and whose record has not changed. A transaction may outlive
+/// it.
 void statement_router::record_mark(const group_id& group,
                                    const std::optional<primary_permit>& permit, instant sent,
                                    const endpoint_answer& answer) {
-    if (permit && answer.point) {
+    if (permit && answer.point && m_fleet.lease.is_valid(group, *permit, boot_now())) {
         m_fleet.bounds(group).record({sent, *answer.point, permit->revision});
     }
 }
