--- a/test/link_proxy_test.cc
+++ b/test/link_proxy_test.cc
@@ -140,7 +140,7 @@
 TEST_CASE("a link keeps all bytes and the back-pressure of a receiver that does not read") {
     proxied_target through;
     proxied_connection link{through};
-    std::string block(64 * 1024, ' ');
+    std::string block(std::size_t{64} * 1024, ' ');
     for (std::size_t i = 0; i < block.size(); ++i) {
         block[i] = static_cast<char>('a' + i * i % 23);
     }
