--- a/soak/link_proxy.cc
+++ b/soak/link_proxy.cc
@@ -20,7 +20,7 @@
 using boost::system::error_code;
 using steady = std::chrono::steady_clock;
 
-constexpr std::size_t read_size = 16 * 1024;
+constexpr std::size_t read_size = std::size_t{16} * 1024;
 // Bytes that a direction takes from its sender before the receiver has taken them. It is reached by
 // a receiver that does not read, and by a delay at high throughput, like the window of a real link.
 constexpr std::size_t max_queued_bytes = 256 * 1024;
