--- a/test/wire_test.cc
+++ b/test/wire_test.cc
@@ -46,6 +46,26 @@
     CHECK(holds);
 }
 
+// Guards against a text with a line feed whose rest counts as a statement, answer or row of its own
+// (rule UNASKED).
+TEST_CASE("only a carriage return and a line feed together end a line") {
+    const bool holds = rc::check([] {
+        auto texts = *rc::gen::container<std::vector<std::string>>(
+            rc::gen::container<std::string>(rc::gen::elementOf(std::string{"\r\n\0 aQ\xff", 7})));
+        std::string bytes;
+        for (std::string& text : texts) {
+            for (auto end = text.find("\r\n"); end != std::string::npos; end = text.find("\r\n")) {
+                text.erase(end, 1);
+            }
+            bytes.append(text).append("\r\n");
+        }
+        const auto piece = static_cast<std::size_t>(*rc::gen::inRange(1, 20));
+        RC_ASSERT(lines_of(bytes, piece) == texts);
+    });
+    CHECK(holds);
+    CHECK(lines_of("QUERY 1 WRITE a b\nQUERY 2 WRITE c d\r\n", 5).size() == 1);
+}
+
 // Guards against a caller that exhausts memory with a line that has no end.
 TEST_CASE("a line over the size limit is detected") {
     line_buffer buffer;
