Use an endpoint again whose shutdown was called off

Cause: the connections of a leaving endpoint are retired, at once or after 5 s as a primary. When the endpoint reported that it is ready again, the retired pool stayed, and no statement, successor choice or probe used the endpoint any more.

Change: an endpoint that is no longer leaving gets a new pool.

--- a/proxy/fleet_state.cc
+++ b/proxy/fleet_state.cc
@@ -51,7 +51,10 @@
     const bool is_same_process = pool && pool->endpoint().started_ms == endpoint.started_ms &&
                                  pool->endpoint().entry.address == endpoint.entry.address &&
                                  pool->endpoint().entry.group == endpoint.entry.group;
-    if (pool && !is_same_process) {
+    // A pool that was retired while the endpoint was leaving is not used again.
+    const bool has_returned =
+        pool && pool->is_retired() && endpoint.entry.state == member_state::live;
+    if (pool && (!is_same_process || has_returned)) {
         pool->retire();
         pool = nullptr;
     }
--- a/test/failover_agent_test.cc
+++ b/test/failover_agent_test.cc
@@ -96,3 +96,25 @@
     CHECK(answer.find("signed-by-i-c") != std::string::npos);
     CHECK(all.promotions().empty());
 }
+
+// Guards against an endpoint that is never used again after its shutdown was called off.
+TEST_CASE("an endpoint that is no longer leaving can become the primary again") {
+    fleet all;
+    all.list_promotions();
+    std::this_thread::sleep_for(replacement_allowed_after);
+    caller pay{all.port(), "pay"};
+    all.list(all.endpoint(0), "primary", "draining");
+    write_until_replaced(pay, "i-a", 4000ms);
+    all.list(all.endpoint(0), "replica", "ready");
+    std::this_thread::sleep_for(1500ms);
+    all.endpoint(1).crash();
+    all.endpoint(2).crash();
+    const auto end = std::chrono::steady_clock::now() + 8s;
+    std::string answer;
+    while (std::chrono::steady_clock::now() < end &&
+           answer.find("signed-by-i-a") == std::string::npos) {
+        std::this_thread::sleep_for(50ms);
+        answer = caller{all.port(), "pay"}.query("WRITE k v");
+    }
+    CHECK(answer.starts_with("DONE"));
+}
