Widen a product of the link proxy; leave one candidate in a test of the failover

Its check of commits at an endpoint that was not promoted held.

Change: the constant is widened. In the test, the other replica is leaving, so that only the former primary can be chosen, however late it answers. All checks of the test are unchanged.

--- a/soak/link_proxy.cc
+++ b/soak/link_proxy.cc
@@ -23,7 +23,7 @@
 constexpr std::size_t read_size = std::size_t{16} * 1024;
 // Bytes that a direction takes from its sender before the receiver has taken them. It is reached by
 // a receiver that does not read, and by a delay at high throughput, like the window of a real link.
-constexpr std::size_t max_queued_bytes = 256 * 1024;
+constexpr std::size_t max_queued_bytes = std::size_t{256} * 1024;
 constexpr int listen_backlog = 512;
 constexpr auto accept_retry_interval = std::chrono::milliseconds{10};
 
--- a/test/failover_agent_test.cc
+++ b/test/failover_agent_test.cc
@@ -34,6 +34,8 @@
 TEST_CASE("a successor that already reports the role is used only after its promotion") {
     fleet all;
     all.endpoint(1).lead_without_promotion(3);
+    // The only candidate, also when its first answer to the host is late.
+    all.list(all.endpoint(2), "replica", "draining");
     std::this_thread::sleep_for(replacement_allowed_after);
     all.delay_promotions(600ms);
     caller pay{all.port(), "pay"};
