Check end to end that texts with line feeds arrive unchanged

Cause: the codec ended a line at any line feed. No test covered the hops behind it: the values, prepared shapes and arguments of a session, the rows of an endpoint, and all of these over a gateway.

The test's endpoint and caller ended a line at a line feed as well; they now share one reader that needs both bytes. Ruled out as a further place of the cause: the gateway's JSON, which keeps all bytes.

--- a/support/session_endpoint.cc
+++ b/support/session_endpoint.cc
@@ -2,17 +2,28 @@
 
 #include <sys/socket.h>
 
-#include <boost/asio/read_until.hpp>
+#include <algorithm>
 #include <boost/asio/streambuf.hpp>
 #include <boost/asio/write.hpp>
-#include <istream>
-#include <sstream>
 #include <utility>
 
+#include "line_socket.h"
+
 namespace jasminelead::support {
+namespace {
 
 using tcp = boost::asio::ip::tcp;
 
+/// Removes and returns the text up to the next blank. Other control bytes are part of a word.
+std::string take_word(std::string_view& text) {
+    const std::size_t blank = std::min(text.find(' '), text.size());
+    std::string word{text.substr(0, blank)};
+    text.remove_prefix(std::min(blank + 1, text.size()));
+    return word;
+}
+
+}  // namespace
+
 session_endpoint::session_endpoint(std::shared_ptr<session_group_state> group,
                                    std::string group_name, std::string id)
     : m_group{std::move(group)},
@@ -103,21 +114,13 @@
 void session_endpoint::serve(tcp::socket& socket) {
     boost::asio::streambuf buffer;
     session client_session;
-    for (;;) {
-        boost::system::error_code error;
-        boost::asio::read_until(socket, buffer, "\r\n", error);
-        if (error) {
-            return;
-        }
-        std::istream stream{&buffer};
-        std::string line;
-        std::getline(stream, line);
-        line.pop_back();
-        const std::string reply = handle_line(client_session, line);
+    while (const auto line = read_line(socket, buffer)) {
+        const std::string reply = handle_line(client_session, *line);
         if (reply.empty()) {
             ::shutdown(socket.native_handle(), SHUT_RDWR);
             return;
         }
+        boost::system::error_code error;
         boost::asio::write(socket, boost::asio::buffer(reply), error);
     }
 }
@@ -145,34 +148,27 @@
            "\r\n";
 }
 
-std::string session_endpoint::handle_line(session& client_session, const std::string& line) {
-    std::istringstream words{line};
-    std::string verb;
-    words >> verb;
+std::string session_endpoint::handle_line(session& client_session, std::string_view line) {
+    const std::string verb = take_word(line);
     if (verb == "STARTUP") {
-        std::string group;
-        std::string user;
-        std::string id;
-        words >> group >> user >> id;
+        const std::string group = take_word(line);
+        take_word(line);  // Who connects.
+        const std::string id = take_word(line);
         const std::lock_guard lock{m_group->lock};
         const bool expected = group == m_group_name && (id.empty() || id == m_id);
         return expected ? "READY I " + point() + "\r\n" : "ERROR WRONGNODE " + m_id + "\r\n";
     }
-    std::string id;
-    words >> id >> std::ws;
-    std::string text;
-    std::getline(words, text);
-    return verb == "QUERY" ? run_query(client_session, id, text) : std::string{};
+    const std::string id = take_word(line);
+    return verb == "QUERY" ? run_query(client_session, id, line) : std::string{};
 }
 
 std::string session_endpoint::run_query(session& client_session, const std::string& id,
-                                        const std::string& text) {
-    std::istringstream words{text};
-    std::string verb;
-    words >> verb;
+                                        std::string_view text) {
+    std::string_view words = text;
+    std::string verb = take_word(words);
     if (verb == "AFTER") {
-        std::string required;
-        words >> required >> verb;
+        take_word(words);  // The required position.
+        verb = take_word(words);
     }
     {
         const std::lock_guard lock{m_fault_lock};
@@ -186,11 +182,9 @@
     }
     std::this_thread::sleep_for(take_delay(verb));
     const std::lock_guard lock{m_group->lock};
-    m_group->log.push_back(m_id + " " + id + " " + text);
-    std::string name;
-    std::string rest;
-    words >> name >> std::ws;
-    std::getline(words, rest);
+    m_group->log.push_back(m_id + " " + id + " " + std::string{text});
+    const std::string name = take_word(words);
+    const std::string rest{words};
     std::string reply;
     if (verb == "RESET") {
         client_session.values.clear();
--- a/support/session_endpoint.h
+++ b/support/session_endpoint.h
@@ -41,6 +41,7 @@
 
     [[nodiscard]] std::string address() const;
     [[nodiscard]] const std::string& id() const { return m_id; }
+    [[nodiscard]] const std::string& group_name() const { return m_group_name; }
     /// Runs the next statement with this verb and closes its connection without a response.
     void drop_next_response(std::string verb);
     /// Rejects the next statement with this verb, without running it.
@@ -75,8 +76,8 @@
     void accept_loop();
     void serve(boost::asio::ip::tcp::socket& socket);
     /// Returns the response to one line; an empty response closes the connection.
-    std::string handle_line(session& client_session, const std::string& line);
-    std::string run_query(session& client_session, const std::string& id, const std::string& text);
+    std::string handle_line(session& client_session, std::string_view line);
+    std::string run_query(session& client_session, const std::string& id, std::string_view text);
     /// Time to wait before the statement runs.
     std::chrono::milliseconds take_delay(const std::string& verb);
     std::string run_item(session& client_session, const std::string& verb, const std::string& item,
--- a/test/session_fleet.h
+++ b/test/session_fleet.h
@@ -4,12 +4,10 @@
 #include <array>
 #include <atomic>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/read_until.hpp>
 #include <boost/asio/streambuf.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <chrono>
-#include <istream>
 #include <list>
 #include <map>
 #include <memory>
@@ -18,6 +16,7 @@
 #include <thread>
 #include <vector>
 
+#include "line_socket.h"
 #include "proxy/session_daemon.h"
 #include "session_endpoint.h"
 #include "session_platform.h"
@@ -64,21 +63,13 @@
     std::string exchange(const std::string& line) {
         boost::asio::write(m_socket, boost::asio::buffer(line + "\r\n"));
         std::string all;
-        for (;;) {
-            boost::system::error_code error;
-            boost::asio::read_until(m_socket, m_buffer, "\r\n", error);
-            if (error) {
-                return all + "closed";
-            }
-            std::istream stream{&m_buffer};
-            std::string answer;
-            std::getline(stream, answer);
-            answer.pop_back();
-            all += answer + "|";
-            if (answer.starts_with("READY")) {
+        while (const auto answer = support::read_line(m_socket, m_buffer)) {
+            all += *answer + "|";
+            if (answer->starts_with("READY")) {
                 return all;
             }
         }
+        return all + "closed";
     }
 
     boost::asio::io_context m_io;
@@ -150,6 +141,11 @@
         const std::lock_guard lock{m_group->lock};
         return m_group->primary;
     }
+    /// Position of the group's last commit.
+    [[nodiscard]] std::uint64_t position() {
+        const std::lock_guard lock{m_group->lock};
+        return m_group->position;
+    }
     /// Commits at endpoints that were not the promoted primary.
     [[nodiscard]] int unpromoted_commits() {
         const std::lock_guard lock{m_group->lock};
@@ -166,7 +162,8 @@
     proxy::session_daemon& daemon(std::size_t host = 0) { return *m_daemons[host]; }
     void list(const session_endpoint& endpoint, const std::string& role, const std::string& state) {
         m_platform.put("servers/" + endpoint.id(),
-                       R"({"service":"shows","addr":")" + endpoint.address() +
+                       R"({"service":")" + endpoint.group_name() + R"(","addr":")" +
+                           endpoint.address() +
                            R"(","zone":"dc","version":"v1","slots":3,"state":")" + state +
                            R"(","coldLeftMs":0,"dbRole":")" + role + R"(","seq":1})");
     }
