Keep a session's last write to each group

Cause: a session remembered one write with one group. A write to another group replaced it, and reads at the first group were bounded by the route's staleness only. Messages to and from gateways held the same pair, so that relayed statements forgot as well.

Change: a session keeps its last write to each group. A request to a gateway holds the one to the group of its route, and the answer reports that one; the messages keep their fields, so that hosts of an earlier build understand them. Ruled out: dropping a change of the route until the session ends, since it has to apply from the next transaction on.

--- a/proxy/gateway_messages.cc
+++ b/proxy/gateway_messages.cc
@@ -101,24 +101,29 @@
     return statement;
 }
 
-void encode_writes(json::object& object, const session_writes& writes, const group_id& group) {
-    if (writes.point) {
+void encode_write(json::object& object, const session_writes& write, const group_id& group) {
+    if (write.point) {
         object.emplace("writes", json::object{{"group", group.str()},
-                                              {"term", writes.point->term},
-                                              {"position", writes.point->position},
-                                              {"leadership", writes.leadership}});
+                                              {"term", write.point->term},
+                                              {"position", write.point->position},
+                                              {"leadership", write.leadership}});
     }
 }
 
-void decode_writes(const json::object& object, session_writes& writes, group_id& group) {
-    const json::object* const writes_object = object_of(object, "writes");
-    if (writes_object == nullptr) {
-        return;
+struct group_write {
+    group_id group;
+    session_writes write;
+};
+
+group_write decode_write(const json::object& object) {
+    const json::object* const fields = object_of(object, "writes");
+    if (fields == nullptr) {
+        return {};
     }
-    group = group_id{text_of(*writes_object, "group").value_or("")};
-    writes.point = log_point{number_of(*writes_object, "term").value_or(0),
-                             number_of(*writes_object, "position").value_or(0)};
-    writes.leadership = number_of(*writes_object, "leadership").value_or(0);
+    const log_point point{number_of(*fields, "term").value_or(0),
+                          number_of(*fields, "position").value_or(0)};
+    return {group_id{text_of(*fields, "group").value_or("")},
+            {point, number_of(*fields, "leadership").value_or(0)}};
 }
 
 json::object encode_values(const session_data& session) {
@@ -140,7 +145,8 @@
                         {"commits", request.commits},
                         {"may_decline", request.may_decline},
                         {"values", encode_values(request.session)}};
-    encode_writes(object, request.session.writes, request.session.written_group);
+    const group_id& group = request.route.group;
+    encode_write(object, last_write(request.session, group), group);
     return json::serialize(object);
 }
 
@@ -173,7 +179,8 @@
         const std::string name{member.key()};
         request.session.values[name] = text_of(*values, name).value_or("");
     }
-    decode_writes(*object, request.session.writes, request.session.written_group);
+    const group_write written = decode_write(*object);
+    record_write(request.session, written.group, written.write);
     return request;
 }
 
@@ -185,7 +192,7 @@
     if (answer.outcome.fault) {
         object.emplace("fault", to_string(*answer.outcome.fault));
     }
-    encode_writes(object, answer.writes, answer.written_group);
+    encode_write(object, answer.last_write, answer.written_group);
     return json::serialize(object);
 }
 
@@ -209,7 +216,9 @@
     answer.outcome.signature = std::move(*signature);
     answer.transaction = text_of(*object, "transaction").value_or("");
     answer.still_open = flag_of(*object, "still_open");
-    decode_writes(*object, answer.writes, answer.written_group);
+    const group_write written = decode_write(*object);
+    answer.last_write = written.write;
+    answer.written_group = written.group;
     return answer;
 }
 
--- a/proxy/gateway_messages.h
+++ b/proxy/gateway_messages.h
@@ -26,17 +26,18 @@
     bool read_only = false;    ///< For `begin`.
     bool commits = false;      ///< For `begin`: the first statement is the commit.
     bool may_decline = false;  ///< Set when another gateway could serve the request.
-    /// Without prepared statements; `statement` contains the one to execute.
+    /// Without prepared statements, as `statement` contains the one to execute, and without writes
+    /// to groups other than that of `route`.
     session_data session;
 };
 
 struct gateway_answer {
     bool declined = false;  ///< Not run; another gateway may serve it.
     statement_outcome outcome;
-    std::string transaction;  ///< Name of the transaction that `begin` opened.
-    bool still_open = false;  ///< After `begin` and `step`.
-    session_writes writes;    ///< Writes of the session, including this statement.
-    group_id written_group;
+    std::string transaction;    ///< Name of the transaction that `begin` opened.
+    bool still_open = false;    ///< After `begin` and `step`.
+    session_writes last_write;  ///< Of the session to `written_group`, with this statement.
+    group_id written_group;     ///< The group of the request's route.
 };
 
 /// The message contains the age of the statement at `now`, since hosts share no clock.
--- a/proxy/gateway_server.cc
+++ b/proxy/gateway_server.cc
@@ -33,6 +33,11 @@
     std::uint32_t& m_count;
 };
 
+void report_last_write(gateway_answer& answer, const gateway_request& request) {
+    answer.written_group = request.route.group;
+    answer.last_write = last_write(request.session, request.route.group);
+}
+
 /// Marks a transaction as busy for the lifetime of the object, also when an exception ends it.
 class busy_scope {
 public:
@@ -92,8 +97,7 @@
     }
     gateway_answer result;
     result.outcome = m_router.run(request.session, request.route, request.statement);
-    result.writes = request.session.writes;
-    result.written_group = request.session.written_group;
+    report_last_write(result, request);
     return result;
 }
 
@@ -169,8 +173,7 @@
     }
     m_transactions.erase(found);
     result.outcome = m_router.commit(held->open, request.session, request.route, request.statement);
-    result.writes = request.session.writes;
-    result.written_group = request.session.written_group;
+    report_last_write(result, request);
     return result;
 }
 
--- a/proxy/session_data.h
+++ b/proxy/session_data.h
@@ -22,10 +22,15 @@
 struct session_data {
     std::map<std::string, std::string> values;
     std::map<std::string, prepared_statement, std::less<>> prepared;
-    session_writes writes;
-    group_id written_group;  ///< The group that `writes` refers to.
+    /// Last write to each group. A route can move to another group and back during the session.
+    std::map<group_id, session_writes> writes;
 };
 
+/// The session's last write to the group; without a point if there was none.
+session_writes last_write(const session_data& session, const group_id& group);
+/// Has no effect without a point.
+void record_write(session_data& session, const group_id& group, const session_writes& write);
+
 /// A statement to run on an endpoint.
 struct forwarded_statement {
     std::string id;
--- a/proxy/statement_dispatcher.cc
+++ b/proxy/statement_dispatcher.cc
@@ -55,8 +55,7 @@
     request.route = route;
     request.statement = statement;
     request.session.values = session.values;
-    request.session.writes = session.writes;
-    request.session.written_group = session.written_group;
+    record_write(request.session, route.group, last_write(session, route.group));
     return request;
 }
 
@@ -91,10 +90,7 @@
         if (answer.declined) {
             continue;
         }
-        if (answer.writes.point) {
-            session.writes = answer.writes;
-            session.written_group = answer.written_group;
-        }
+        record_write(session, answer.written_group, answer.last_write);
         return relayed_answer{gateway, std::move(answer)};
     }
     return gateway_fault::not_sent;
@@ -262,10 +258,7 @@
         auto result = m_gateway_client.ask(open.gateway, request,
                                            statement.arrived + route.statement_timeout);
         if (auto* const answer = std::get_if<gateway_answer>(&result)) {
-            if (answer->writes.point) {
-                session.writes = answer->writes;
-                session.written_group = answer->written_group;
-            }
+            record_write(session, answer->written_group, answer->last_write);
             return std::move(answer->outcome);
         }
         const bool unsent = std::get<gateway_fault>(result) == gateway_fault::not_sent;
--- a/proxy/statement_router.cc
+++ b/proxy/statement_router.cc
@@ -119,11 +119,11 @@
 /// Sets the log point that the read must see, and the age of that point on the primary.
 void statement_router::update_bound(statement_attempt& current, const session_data& session) {
     const database_route& route = current.route;
-    const bool sees_own_writes =
-        route.policy == read_policy::read_your_writes && session.written_group == route.group;
+    const bool sees_own_writes = route.policy == read_policy::read_your_writes;
+    const session_writes own =
+        sees_own_writes ? last_write(session, route.group) : session_writes{};
     const read_bounds& bounds = m_fleet.bounds(route.group);
-    current.after = bounds.required(current.statement.arrived, route.max_stale,
-                                    sees_own_writes ? session.writes : session_writes{});
+    current.after = bounds.required(current.statement.arrived, route.max_stale, own);
     current.point_age = current.after ? bounds.lag(*current.after, boot_now()) : route.max_stale;
 }
 
@@ -336,13 +336,6 @@
     }
 }
 
-void statement_router::record_session_write(session_data& session, const group_id& group,
-                                            const primary_permit& permit,
-                                            const endpoint_answer& answer) {
-    session.writes = {answer.point, permit.revision};
-    session.written_group = group;
-}
-
 statement_outcome statement_router::run_on_primary(session_data& session,
                                                    const database_route& route,
                                                    const forwarded_statement& statement,
@@ -388,7 +381,7 @@
                 log_attempt(current, endpoint, "done");
                 return {std::nullopt, {}, received.rows, received.signature};
             }
-            record_session_write(session, route.group, used.permit, received);
+            record_write(session, route.group, {received.point, used.permit.revision});
             return acknowledge_write(current, used, received);
         }
         log_attempt(current, endpoint, to_string(*received.fault));
--- a/proxy/statement_router.h
+++ b/proxy/statement_router.h
@@ -116,8 +116,6 @@
                             const held_connection& connection, connection_fault fault);
     void record_mark(const group_id& group, const std::optional<primary_permit>& permit,
                      instant sent, const endpoint_answer& answer);
-    void record_session_write(session_data& session, const group_id& group,
-                              const primary_permit& permit, const endpoint_answer& answer);
     void log_attempt(const statement_attempt& current, const endpoint_id& endpoint,
                      std::string_view outcome);
 
--- a/proxy/statement_router_transactions.cc
+++ b/proxy/statement_router_transactions.cc
@@ -194,7 +194,7 @@
                                                  received.state == transaction_state::idle);
             record_mark(route.group, transaction.permit, sent, received);
             if (transaction.wrote) {
-                record_session_write(session, route.group, *transaction.permit, received);
+                record_write(session, route.group, {received.point, transaction.permit->revision});
             }
             if (needs_valid_lease &&
                 !wait_for_valid_lease(route.group, *transaction.permit, current.give_up)) {
--- a/test/gateway_messages_test.cc
+++ b/test/gateway_messages_test.cc
@@ -25,8 +25,7 @@
     request.statement.arrived = now - 30_ms;
     request.may_decline = true;
     request.session.values["lang"] = "es";
-    request.session.writes = {log_point{3, 120}, 9};
-    request.session.written_group = group_id{"shows"};
+    record_write(request.session, group_id{"shows"}, {log_point{3, 120}, 9});
     return request;
 }
 
@@ -49,9 +48,9 @@
     CHECK(received->statement.arguments == "a b");
     CHECK(received->may_decline);
     CHECK(received->session.values == sent.session.values);
-    CHECK(received->session.writes.point == sent.session.writes.point);
-    CHECK(received->session.writes.leadership == 9);
-    CHECK(received->session.written_group == sent.session.written_group);
+    const session_writes written = last_write(received->session, group_id{"shows"});
+    CHECK(written.point == log_point{3, 120});
+    CHECK(written.leadership == 9);
 }
 
 // Guards against reads that are staler than their route allows. The bound counts back from the
@@ -68,7 +67,7 @@
     sent.outcome = make_fault(statement_fault::lagging, "behind");
     sent.transaction = "17-4";
     sent.still_open = true;
-    sent.writes = {log_point{4, 7}, 11};
+    sent.last_write = {log_point{4, 7}, 11};
     sent.written_group = group_id{"shows"};
     const auto received = decode_gateway_answer(encode_gateway_answer(sent));
     REQUIRE(received);
@@ -76,7 +75,9 @@
     CHECK(received->outcome.text == "behind");
     CHECK(received->transaction == "17-4");
     CHECK(received->still_open);
-    CHECK(received->writes.point == log_point{4, 7});
+    CHECK(received->last_write.point == log_point{4, 7});
+    CHECK(received->last_write.leadership == 11);
+    CHECK(received->written_group == group_id{"shows"});
     CHECK_FALSE(received->declined);
 }
 
