State in one place when a position bounds reads, and test it

Cause: the commit of a transaction that wrote nothing succeeds at a replaced primary, and its position counted as the present primary's.

Change: the rule is a function of the core, `mark_from`, that the router uses for every answer; a position that it rejects is counted (`ignored_positions`). Ruled out as further places: the steps of a transaction record no position; a mark from another host was recorded under that host's rule, and its age only makes it older.

--- a/include/jasminelead/read_bounds.h
+++ b/include/jasminelead/read_bounds.h
@@ -4,6 +4,7 @@
 #include <optional>
 
 #include "jasminelead/log_point.h"
+#include "jasminelead/primary_lease.h"
 #include "jasminelead/types.h"
 
 /// Computes the log point that an endpoint must have applied to serve a read within the staleness
@@ -18,6 +19,18 @@
     revision_number leadership = 0;  ///< Revision of the group's record that was in force.
 };
 
+/// An answer with a log position to a statement that was sent under a permit.
+struct primary_answer {
+    primary_permit permit;
+    instant sent;
+    instant received;
+    log_point point;
+};
+
+/// Returns nothing unless the permit is still valid when the answer arrives.
+std::optional<primary_mark> mark_from(const primary_answer& answer, const primary_lease& lease,
+                                      const group_id& group);
+
 /// Last write of a session to a group.
 struct session_writes {
     std::optional<log_point> point;
--- a/proxy/statement_router.cc
+++ b/proxy/statement_router.cc
@@ -325,15 +325,18 @@
     return true;
 }
 
-/// A valid permit at the answer shows that the endpoint was the primary when the statement was
-/// sent: a permit that was valid before and whose record has not changed. A transaction may outlive
-/// it.
 void statement_router::record_mark(const group_id& group,
                                    const std::optional<primary_permit>& permit, instant sent,
                                    const endpoint_answer& answer) {
-    if (permit && answer.point && m_fleet.lease.is_valid(group, *permit, boot_now())) {
-        m_fleet.bounds(group).record({sent, *answer.point, permit->revision});
+    if (!permit || !answer.point) {
+        return;
     }
+    const auto mark = mark_from({*permit, sent, boot_now(), *answer.point}, m_fleet.lease, group);
+    if (!mark) {
+        m_counters.count("ignored_positions", "permit_invalid");
+        return;
+    }
+    m_fleet.bounds(group).record(*mark);
 }
 
 statement_outcome statement_router::run_on_primary(session_data& session,
--- a/src/read_bounds.cc
+++ b/src/read_bounds.cc
@@ -13,6 +13,17 @@
 
 }  // namespace
 
+/// A permit that was valid before and is valid now shows that the endpoint was the primary when the
+/// statement was sent. A transaction can outlive its permit, and end with success at a primary that
+/// was replaced meanwhile.
+std::optional<primary_mark> mark_from(const primary_answer& answer, const primary_lease& lease,
+                                      const group_id& group) {
+    if (!lease.is_valid(group, answer.permit, answer.received)) {
+        return std::nullopt;
+    }
+    return primary_mark{answer.sent, answer.point, answer.permit.revision};
+}
+
 void read_bounds::record(const primary_mark& mark) {
     if (!m_marks.empty()) {
         const primary_mark& last = m_marks.back();
--- a/test/read_bounds_test.cc
+++ b/test/read_bounds_test.cc
@@ -19,6 +19,38 @@
 
 }  // namespace
 
+// Guards against reads of old data (rule STALE): a replaced primary still answers, and its position
+// lacks the commits of the new one.
+TEST_CASE("an answer gives a mark only under a permit that is still valid") {
+    const group_id shows{"shows"};
+    primary_lease lease{900_ms};
+    group_record record;
+    record.revision = 5;
+    record.primary = endpoint_id{"i-a"};
+    lease.apply(shows, record);
+    lease.confirm(start);
+    const auto permit = lease.permit(shows, start);
+    REQUIRE(permit);
+    const primary_answer answer{*permit, start, start + 100_ms, {3, 120}};
+    const auto mark = mark_from(answer, lease, shows);
+    REQUIRE(mark);
+    CHECK(mark->sent == start);
+    CHECK(mark->point == log_point{3, 120});
+    CHECK(mark->leadership == 5);
+    primary_answer late = answer;
+    late.received = start + 1_s;
+    CHECK_FALSE(mark_from(late, lease, shows));
+    record.revision = 6;
+    record.phase = leadership_phase::changing;
+    lease.apply(shows, record);
+    CHECK_FALSE(mark_from(answer, lease, shows));
+    record.revision = 7;
+    record.phase = leadership_phase::led;
+    record.primary = endpoint_id{"i-b"};
+    lease.apply(shows, record);
+    CHECK_FALSE(mark_from(answer, lease, shows));
+}
+
 // Guards against reads that miss a commit acknowledged before the staleness limit.
 TEST_CASE("the oldest mark within the staleness limit bounds a read") {
     const read_bounds bounds = marks_every_100_ms();
