State why a write under an earlier record is below later marks

Traced by reading: `write_mark` and `write_primary` are the only writers after the first record, and the second runs only after `wait_until_primary_unused`. So no host acknowledges under the earlier record once the later one names a primary, whichever it names, and every mark under the later one includes the write. A comparison by terms was tried and taken back, as it guards an order of events that cannot occur. No behaviour changes.

--- a/src/read_bounds.cc
+++ b/src/read_bounds.cc
@@ -60,8 +60,10 @@
     if (own.leadership == oldest->leadership) {
         return std::max(oldest->point, *own.point);
     }
-    // The write was made under an earlier primary. If it survived the promotion, it is below the
-    // first position of the current primary; otherwise it can never be read.
+    // The write was made under an earlier record. A new record names a primary only when no host
+    // uses the earlier one any more, also if it names the same endpoint again because a replacement
+    // was called off. An acknowledged write is therefore below the first mark under the new record,
+    // unless the promotion rolled it back.
     if (own.leadership < oldest->leadership) {
         return oldest->point;
     }
