Start an instance of the soak once when its crashes overlap

Cause: two crashes of i-svc2-b overlapped and ended together.

Change: crashes are held like the other faults of an instance, so that it starts once, when the last of them ends.

--- a/soak/fault_player.cc
+++ b/soak/fault_player.cc
@@ -185,9 +185,10 @@
         case drain_called_off:
             return hold_setting([](instance& item, bool is_on) { item.is_draining = is_on; });
         case fault_kind::crash:
-            at.item->crash();
-            sleep_ms(fault.length_ms);
-            return at.item->restart();
+            // An instance starts once when crashes of it overlap: a second start would wait for the
+            // port of the first.
+            return hold(fault, at.item->id(),
+                        [&](bool is_on) { is_on ? at.item->crash() : at.item->restart(); });
         case cut_off:
         case cut_from_hosts:
         case isolate:
