Declare the members of a test fixture in one block

The fixture of the router's test alternated public and private parts, because its members depend on each other in their order, and a function with one value for its parameter made its route. It is a plain struct now, like the fixture of the mirror's test.

--- a/test/statement_router_test.cc
+++ b/test/statement_router_test.cc
@@ -2,8 +2,10 @@
 
 #include <catch2/catch.hpp>
 #include <future>
+#include <memory>
+#include <string>
 #include <type_traits>
-#include <utility>
+#include <variant>
 
 #include "proxy/clock.h"
 #include "session_endpoint.h"
@@ -30,9 +32,7 @@
     return result;
 }
 
-database_route route_with(read_policy policy) {
-    return {"view", shows, policy, 1500_ms, 500_ms, 1, 1500_ms};
-}
+const database_route primary_route{"pay", shows, read_policy::primary, 1500_ms, 500_ms, 1, {}};
 
 forwarded_statement statement(const std::string& text) {
     forwarded_statement result;
@@ -44,17 +44,16 @@
 }
 
 /// A router with two endpoints and without a store: tests set the records and leases.
-class router_fixture {
-public:
+struct router_fixture {
     router_fixture() {
-        m_group->primary = former_primary.str();
+        group->primary = former_primary.str();
         run([this] {
             routing_config config;
             config.version = 1;
             config.groups[shows].max_connections = 8;
             fleet.config.offer(std::make_shared<const routing_config>(config));
-            fleet.put_endpoint(listed(m_first));
-            fleet.put_endpoint(listed(m_second));
+            fleet.put_endpoint(listed(first));
+            fleet.put_endpoint(listed(second));
             lead(former_primary, 5, 4);
         });
     }
@@ -64,7 +63,7 @@
                 pool->retire();
             }
         });
-        m_home.stop();
+        home.stop();
     }
     router_fixture(const router_fixture&) = delete;
     router_fixture& operator=(const router_fixture&) = delete;
@@ -75,8 +74,8 @@
     template <class Function>
     std::invoke_result_t<Function> run(Function function) {
         std::promise<std::invoke_result_t<Function>> result;
-        m_home.post([&] {
-            m_home.spawn([&] {
+        home.post([&] {
+            home.spawn([&] {
                 if constexpr (std::is_void_v<std::invoke_result_t<Function>>) {
                     function();
                     result.set_value();
@@ -97,22 +96,15 @@
         fleet.lease.confirm(boot_now());
     }
 
-private:
-    daemon::worker m_home;
-    std::shared_ptr<session_group_state> m_group = std::make_shared<session_group_state>();
-    session_endpoint m_first{m_group, shows.str(), former_primary.str()};
-    session_endpoint m_second{m_group, shows.str(), new_primary.str()};
-
-public:
+    std::shared_ptr<session_group_state> group = std::make_shared<session_group_state>();
+    session_endpoint first{group, shows.str(), former_primary.str()};
+    session_endpoint second{group, shows.str(), new_primary.str()};
+    daemon::worker home;
     daemon::metrics counters;
-    fleet_state fleet{m_home, {host_id{"h1"}, data_centre_id{"dc"}, 1}};
-
-private:
-    record_mirror m_mirror{fleet, counters};
-    mark_exchange m_marks{fleet, m_mirror, counters};
-
-public:
-    statement_router router{fleet, m_marks, counters};
+    fleet_state fleet{home, {host_id{"h1"}, data_centre_id{"dc"}, 1}};
+    record_mirror mirror{fleet, counters};
+    mark_exchange marks{fleet, mirror, counters};
+    statement_router router{fleet, marks, counters};
 };
 
 }  // namespace
@@ -122,14 +114,14 @@
 TEST_CASE("a commit at a replaced primary gives no bound for reads") {
     router_fixture f;
     session_data session;
-    const auto route = route_with(read_policy::primary);
-    auto opened = f.run([&] { return f.router.begin(session, route, statement("READ k"), true); });
+    auto opened =
+        f.run([&] { return f.router.begin(session, primary_route, statement("READ k"), true); });
     REQUIRE(std::holds_alternative<open_transaction>(opened));
     auto& transaction = std::get<open_transaction>(opened);
     f.run([&] { f.lead(new_primary, 9, 5); });
     const instant replaced = boot_now();
-    const auto committed =
-        f.run([&] { return f.router.commit(transaction, session, route, statement("COMMIT")); });
+    const auto committed = f.run(
+        [&] { return f.router.commit(transaction, session, primary_route, statement("COMMIT")); });
     CHECK_FALSE(committed.fault);
     CHECK(committed.signature == "signed-by-i-a");
     const auto bound =
