--- a/include/jasminelead/admission.h
+++ b/include/jasminelead/admission.h
@@ -20,6 +20,14 @@
     std::uint32_t share = 1;  ///< Weight of the service.
     instant deadline;
     bool holds_connection = false;  ///< A statement of an open transaction.
+    account_id account{};           ///< Account that the connection has to belong to.
+};
+
+/// Statements of one account that wait for a connection.
+struct account_demand {
+    account_id account;
+    std::uint32_t waiting = 0;
+    instant first_deadline;
 };
 
 class admission {
@@ -35,11 +43,15 @@
         duration charged;  ///< Estimated work, charged until the actual time is known.
     };
     using service_predicate = std::function<bool(const service_id&)>;
+    using account_predicate = std::function<bool(const account_id&)>;
 
     verdict push(const admission_request& request, std::uint32_t slots, instant now);
     /// Removes and returns the next entry. Entries that hold no connection require
     /// `connection_idle` and a service for which `below_share` returns true.
     std::optional<dispatched> pop(bool connection_idle, const service_predicate& below_share);
+    /// Removes and returns the next entry. Entries that hold no connection require an account for
+    /// which `has_connection` returns true; those of other accounts are passed over.
+    std::optional<dispatched> pop_for_account(const account_predicate& has_connection);
     /// Replaces the charge of a statement with its actual duration.
     void complete(const service_id& service, duration charged, duration taken);
     /// Reverts the charge of an entry that was popped but not run.
@@ -53,6 +65,8 @@
     /// Mean statement time; zero before the first statement finished.
     [[nodiscard]] duration mean_time() const { return m_mean; }
 
+    /// Accounts whose statements wait for a connection; the most urgent first.
+    [[nodiscard]] std::vector<account_demand> waiting_accounts() const;
     /// Calls `visit(service, count)` for each service with entries that need a connection.
     template <class Visitor>
     void visit_waiting(Visitor visit) const {
@@ -67,6 +81,7 @@
     struct entry {
         instant deadline;
         std::uint64_t number = 0;
+        account_id account;
     };
     using entries = std::vector<entry>;  // Latest deadline first; the next entry is at the back.
     struct service_queue {
@@ -81,7 +96,9 @@
     [[nodiscard]] duration expected_wait(const service_queue& queue, instant deadline,
                                          std::uint32_t slots) const;
     std::optional<std::uint64_t> evict_for(const service_queue& incoming);
-    dispatched take(service_queue& queue, entries& from);
+    std::optional<dispatched> pop_next(const service_predicate& below_share,
+                                       const account_predicate& has_connection);
+    dispatched take(service_queue& queue, entries& from, entries::iterator at);
 
     service_queue_map m_service_queues;
     std::size_t m_size = 0;
--- a/include/jasminelead/connection_share.h
+++ b/include/jasminelead/connection_share.h
@@ -16,6 +16,10 @@
     /// `hosts` is the number of hosts that share the connections; 0 if this host is not one of them
     /// and keeps none.
     void set_limit(std::uint32_t max_connections, std::uint32_t hosts);
+    /// For connections that belong to accounts: this host has `weight` of the hosts' total weight.
+    /// Sets a share of 0 for a weight of 0.
+    void set_weighted_limit(std::uint32_t max_connections, std::uint32_t weight,
+                            std::uint32_t total_weight);
 
     /// The endpoint refused a connection while this daemon had `open` connections.
     void on_refused(std::uint32_t open, instant now);
--- a/include/jasminelead/gateway.h
+++ b/include/jasminelead/gateway.h
@@ -41,4 +41,10 @@
 std::vector<host_id> order_gateways(const group_id& group, std::span<const host_placement> gateways,
                                     const host_placement& requester);
 
+/// The gateways in the order in which hosts of the data centre try them for an account. All hosts
+/// there try the same one first, so that it can keep connections of the account open.
+std::vector<host_id> order_gateways_for_account(const group_id& group, const account_id& account,
+                                                std::span<const host_placement> gateways,
+                                                const data_centre_id& data_centre);
+
 }  // namespace jasminelead
--- a/include/jasminelead/reason.h
+++ b/include/jasminelead/reason.h
@@ -44,6 +44,7 @@
     peer_unreachable,          ///< The owner could not be reached; nothing was sent.
     unconfirmed,               ///< A write ran but no majority confirmed its term in time.
     stale_answer,              ///< The answer did not satisfy the token or the accepted age.
+    key_removed,               ///< The caller's key is no longer configured.
     invariant_broken,          ///< An internal check failed.
 };
 
--- a/include/jasminelead/routing_config.h
+++ b/include/jasminelead/routing_config.h
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <vector>
 
+#include "jasminelead/account.h"
 #include "jasminelead/types.h"
 
 /// Routes from databases to groups, set by operators, with increasing versions.
@@ -24,6 +25,7 @@
     duration latency_goal;       ///< Latency target of a whole operation.
     std::uint32_t priority = 0;  ///< 0 is the highest.
     duration max_stale;          ///< Unused by policy `primary`.
+    bool is_public = false;      ///< Callers need no key.
 };
 
 struct group_limits {
@@ -35,10 +37,17 @@
     revision_number version = 0;
     std::map<std::string, database_route, std::less<>> routes;  ///< By database.
     std::map<group_id, group_limits> groups;
+    account_directory accounts;  ///< Empty when callers need no keys at all.
     duration transaction_idle_limit;
 
     [[nodiscard]] const database_route* find(std::string_view database) const;
     [[nodiscard]] std::uint32_t max_connections(const group_id& group) const;
+    /// The caller of a session on the route; nothing if the route needs a key that no account has.
+    [[nodiscard]] std::optional<caller_identity> authenticate(const database_route& route,
+                                                              const key_digest& key) const;
+    /// True if the caller may still be served. A newer version than this one may have authenticated
+    /// it with a key that this one does not know.
+    [[nodiscard]] bool still_admits(const authenticated_caller& caller) const;
 };
 
 /// Holds the configuration with the highest version offered so far.
--- a/include/jasminelead/types.h
+++ b/include/jasminelead/types.h
@@ -98,6 +98,7 @@
 using endpoint_id = basic_id<struct endpoint_tag>;
 using group_id = basic_id<struct group_tag>;
 using service_id = basic_id<struct service_tag>;
+using account_id = basic_id<struct account_tag>;
 
 using term_number = std::uint64_t;
 using log_position = std::uint64_t;
--- a/proxy/endpoint_connection.cc
+++ b/proxy/endpoint_connection.cc
@@ -44,7 +44,7 @@
 }
 
 std::variant<std::optional<log_point>, connection_fault, statement_fault> endpoint_connection::open(
-    const endpoint_entry& endpoint, steady_time deadline) {
+    const endpoint_entry& endpoint, const account_id& account, steady_time deadline) {
     const auto to = daemon::parse_address(endpoint.address);
     if (!to) {
         return connection_fault::protocol;
@@ -55,7 +55,7 @@
     }
     daemon::set_tcp_user_timeout(m_stream.socket(), unacknowledged_limit);
     std::string startup;
-    platform::encode_startup(startup, endpoint.group, endpoint.id);
+    platform::encode_startup(startup, endpoint.group, account, endpoint.id);
     const auto answer = exchange(startup, deadline);
     if (const auto* const fault = std::get_if<connection_fault>(&answer)) {
         return *fault;
--- a/proxy/endpoint_connection.h
+++ b/proxy/endpoint_connection.h
@@ -49,9 +49,10 @@
 public:
     explicit endpoint_connection(boost::asio::io_context& io) : m_stream{io} {}
 
-    /// Returns the end of the endpoint's log, or why the connection could not be opened.
+    /// Opens the connection in the account's name, which it keeps. Returns the end of the
+    /// endpoint's log, or why the connection could not be opened.
     std::variant<std::optional<log_point>, connection_fault, statement_fault> open(
-        const endpoint_entry& endpoint, steady_time deadline);
+        const endpoint_entry& endpoint, const account_id& account, steady_time deadline);
     std::optional<connection_fault> send(std::string_view queries, steady_time deadline);
     /// Receives the answer to the oldest unanswered query.
     std::variant<endpoint_answer, connection_fault> receive(steady_time deadline);
--- a/proxy/endpoint_pool.cc
+++ b/proxy/endpoint_pool.cc
@@ -27,8 +27,9 @@
 
 }  // namespace
 
-endpoint_pool::endpoint_pool(daemon::worker& home, wait_list& changed, listed_endpoint endpoint)
-    : m_home{home}, m_changed{changed}, m_endpoint{std::move(endpoint)} {
+endpoint_pool::endpoint_pool(daemon::worker& home, wait_list& changed, daemon::metrics& counters,
+                             listed_endpoint endpoint)
+    : m_home{home}, m_changed{changed}, m_counters{counters}, m_endpoint{std::move(endpoint)} {
     m_limit.set_max_allowed(m_endpoint.slots);
 }
 
@@ -55,11 +56,17 @@
     const auto turn = std::make_shared<waiter>();
     turn->lane = request.lane;
     turn->kind = request.kind;
+    turn->caller = request.caller;
     turn->bound = bound;
     const std::uint64_t number = m_next_number++;
-    const admission_request entry{number, request.lane, request.share, request.start_deadline,
-                                  bound};
-    const auto verdict = m_queue.push(entry, window(), boot_now());
+    const instant now = boot_now();
+    const admission_request entry{number,        request.lane,
+                                  request.share, request.start_deadline,
+                                  bound,         account_of(request.caller)};
+    if (m_by_account && !bound) {
+        m_accounts.on_request(entry.account, now);
+    }
+    const auto verdict = m_queue.push(entry, window(), now);
     if (verdict.refused) {
         turn->refused = verdict.refused;
         return turn;
@@ -89,20 +96,33 @@
     open_missing_connections();
 }
 
+/// Connections of one user serve all statements; those of accounts only their account's.
+account_id endpoint_pool::account_of(const authenticated_caller& caller) const {
+    return m_by_account ? caller.identity.account : account_id{};
+}
+
+std::optional<admission::dispatched> endpoint_pool::next_waiting() {
+    if (m_by_account) {
+        return m_queue.pop_for_account(
+            [this](const account_id& account) { return has_usable_connection(account); });
+    }
+    if (unbound_waiting() > 0) {
+        drop_unusable_connections();
+    }
+    return m_queue.pop(m_connections.idle() > 0, any_lane);
+}
+
 bool endpoint_pool::dispatch_next() {
     const instant now = boot_now();
-    const connection_id ready = unbound_waiting() > 0 ? take_usable_connection() : no_connection;
-    const auto next = m_queue.pop(ready != no_connection, any_lane);
-    const waiter_ptr turn = next ? m_waiters.extract(next->number).mapped() : nullptr;
-    if (ready != no_connection && (!turn || turn->bound)) {
-        m_connections.put_back(ready, now);
-    }
-    if (!turn) {
+    const auto next = next_waiting();
+    if (!next) {
         return false;
     }
+    const waiter_ptr turn = m_waiters.extract(next->number).mapped();
     turn->slot = run_slot{turn->lane, turn->kind, next->charged, now};
     if (!turn->bound) {
-        turn->connection = held_connection{m_links.at(ready), ready};
+        const connection_id id = take_connection(*turn);
+        turn->connection = held_connection{m_links.at(id), id};
     }
     if (m_running++ == 0) {
         m_unanswered_since = now;
@@ -111,18 +131,44 @@
     return true;
 }
 
-/// Closes idle connections that are no longer usable. Returns `no_connection` when none is left.
-connection_id endpoint_pool::take_usable_connection() {
+/// Call when a usable connection is idle.
+connection_id endpoint_pool::take_connection(const waiter& turn) {
     const instant now = boot_now();
-    while (const auto id = m_connections.take(any_user, now)) {
+    const auto taken = m_by_account
+                           ? m_connections.take_of_account(account_of(turn.caller), any_user, now)
+                           : m_connections.take(any_user, now);
+    return taken.value_or(no_connection);
+}
+
+/// Closes idle connections that the endpoint has closed, until the next one to take is usable.
+void endpoint_pool::drop_unusable_connections() {
+    while (const auto id = m_connections.most_recent_idle()) {
         if (m_links.at(*id)->is_usable()) {
-            return *id;
+            return;
         }
-        m_links.at(*id)->close();
-        m_links.erase(*id);
-        m_connections.remove(*id, now);
+        discard(*id);
+    }
+}
+
+bool endpoint_pool::has_usable_connection(const account_id& account) {
+    while (const auto id = m_connections.idle_of_account(account)) {
+        if (m_links.at(*id)->is_usable()) {
+            return true;
+        }
+        discard(*id);
+    }
+    return false;
+}
+
+/// Closes and forgets a connection.
+void endpoint_pool::discard(connection_id id) {
+    const auto link = m_links.extract(id);
+    if (!link.empty()) {
+        link.mapped()->close();
+    }
+    if (const auto removed = m_connections.remove(id, boot_now())) {
+        m_accounts.on_closed(removed->account);
     }
-    return no_connection;
 }
 
 std::uint32_t endpoint_pool::unbound_waiting() const {
@@ -136,26 +182,72 @@
     if (m_retired || !m_health.is_reachable()) {
         return;
     }
+    if (m_by_account) {
+        open_connections_of_accounts();
+        return;
+    }
     const std::uint32_t demand = std::min(unbound_waiting(), window());
     if (demand == 0) {
         return;
     }
     const std::uint32_t missing = m_connections.missing(demand, m_share.allowed(now), now);
     for (std::uint32_t i = 0; i < missing; ++i) {
-        open_new_connection();
+        open_new_connection(account_id{});
     }
 }
 
-void endpoint_pool::open_new_connection() {
+/// A new connection occupies a slot of the endpoint, so that no more are opened at a time than
+/// statements may run.
+void endpoint_pool::open_connections_of_accounts() {
+    const std::uint32_t limit = m_share.allowed(boot_now());
+    for (const account_demand& demand : m_queue.waiting_accounts()) {
+        if (m_connections.opening() >= window()) {
+            return;
+        }
+        const account_id& account = demand.account;
+        if (m_connections.opening(account) + m_connections.idle(account) >= demand.waiting) {
+            continue;
+        }
+        const bool has_room = m_connections.size() < limit;
+        if (has_room || close_idle_connection_for(account, limit)) {
+            m_counters.count("connections_opened", has_room ? "below_share" : "replacing");
+            open_new_connection(account);
+        }
+    }
+}
+
+/// Returns false if the account has to wait for its own connections.
+bool endpoint_pool::close_idle_connection_for(const account_id& account, std::uint32_t limit) {
+    std::vector<idle_connection> idle;
+    m_connections.visit_idle([&idle](connection_id id, const pooled_connection& connection) {
+        idle.push_back({id, connection.account, connection.idle_since});
+    });
+    const instant now = boot_now();
+    const auto evicted = m_accounts.choose_evicted(account, idle, limit, now);
+    if (!evicted) {
+        m_counters.count("connection_waits", idle.empty() ? "none_idle" : "in_use_by_others");
+        return false;
+    }
+    const bool was_spare =
+        m_connections.find(*evicted)->idle_since + account_connections::reuse_horizon <= now;
+    m_counters.count("connections_evicted", was_spare ? "unused" : "less_used");
+    discard(*evicted);
+    m_accounts.forget_inactive(now);
+    return true;
+}
+
+void endpoint_pool::open_new_connection(const account_id& account) {
     const connection_id id = m_next_number++;
-    m_connections.add_opening(id);
+    m_connections.add_opening(id, account);
+    m_accounts.on_opened(account);
     m_links.emplace(id, std::make_shared<endpoint_connection>(m_home.io()));
     m_home.spawn([self = shared_from_this(), id] { self->connect_to_endpoint(id); });
 }
 
 void endpoint_pool::connect_to_endpoint(connection_id id) {
     const auto link = m_links.at(id);
-    const auto result = link->open(m_endpoint.entry, to_steady(boot_now() + open_timeout));
+    const account_id account = m_connections.find(id)->account;
+    const auto result = link->open(m_endpoint.entry, account, to_steady(boot_now() + open_timeout));
     if (const auto* const point = std::get_if<std::optional<log_point>>(&result)) {
         on_answer(*point);
         on_opened(id);
@@ -179,10 +271,10 @@
 
 void endpoint_pool::on_open_failed(connection_id id, reason why) {
     const instant now = boot_now();
-    m_links.erase(id);
-    m_connections.remove(id, now);
+    discard(id);
     m_is_limit_reached = why == reason::connection_limit;
     if (m_is_limit_reached) {
+        m_counters.count("connections_refused", to_string(why));
         log_line{log_class::refusal, "connection_refused"}
             .with("endpoint", m_endpoint.entry.id)
             .with("group", m_endpoint.entry.group)
@@ -213,13 +305,22 @@
 }
 
 void endpoint_pool::refuse_unbound_waiters(reason why) {
-    std::vector<std::uint64_t> failed;
+    refuse_waiters([](const waiter& turn) { return !turn.bound; }, why);
+}
+
+void endpoint_pool::refuse_removed_callers(const routing_config& config) {
+    refuse_waiters([&config](const waiter& turn) { return !config.still_admits(turn.caller); },
+                   reason::key_removed);
+}
+
+void endpoint_pool::refuse_waiters(const waiter_predicate& is_refused, reason why) {
+    std::vector<std::uint64_t> refused;
     for (const auto& [number, turn] : m_waiters) {
-        if (!turn->bound) {
-            failed.push_back(number);
+        if (is_refused(*turn)) {
+            refused.push_back(number);
         }
     }
-    for (const std::uint64_t number : failed) {
+    for (const std::uint64_t number : refused) {
         const waiter_ptr turn = m_waiters.extract(number).mapped();
         m_queue.remove(turn->lane, number);
         turn->refused = why;
@@ -250,7 +351,7 @@
     if (!needs_connection) {
         dispatch_waiting();
     } else if (!m_retired && m_connections.opening() == 0) {
-        open_new_connection();
+        open_new_connection(account_id{});
     }
 }
 
@@ -267,9 +368,7 @@
     if (clean && !m_retired) {
         m_connections.put_back(connection.id, now);
     } else {
-        connection.link->close();
-        m_links.erase(connection.id);
-        m_connections.remove(connection.id, now);
+        discard(connection.id);
     }
     dispatch_waiting();
 }
@@ -293,7 +392,7 @@
 
 void endpoint_pool::on_answer_missing() {
     if (m_connections.opening() == 0 && !m_retired) {
-        open_new_connection();
+        open_new_connection(account_id{});
     }
 }
 
@@ -302,15 +401,19 @@
     const bool silent = m_running > 0 && m_unanswered_since + max_response_gap <= now;
     if (silent && m_health.is_reachable() && m_connections.opening() == 0 && !m_retired) {
         m_unanswered_since = now;
-        open_new_connection();
+        open_new_connection(account_id{});
     }
 }
 
-void endpoint_pool::update(const listed_endpoint& endpoint, std::uint32_t max_connections,
-                           std::uint32_t hosts) {
+void endpoint_pool::update(const listed_endpoint& endpoint, const connection_limits& limits) {
     m_endpoint = endpoint;
     m_limit.set_max_allowed(endpoint.slots);
-    m_share.set_limit(max_connections, hosts);
+    m_by_account = limits.by_account;
+    if (m_by_account) {
+        m_share.set_weighted_limit(limits.max_connections, limits.weight, limits.total_weight);
+    } else {
+        m_share.set_limit(limits.max_connections, limits.hosts);
+    }
 }
 
 void endpoint_pool::retire() {
@@ -319,20 +422,16 @@
     }
     m_retired = true;
     refuse_unbound_waiters(reason::endpoint_leaving);
-    const instant now = boot_now();
-    while (const auto id = m_connections.take(any_user, now)) {
-        m_links.at(*id)->close();
-        m_links.erase(*id);
-        m_connections.remove(*id, now);
+    while (const auto id = m_connections.most_recent_idle()) {
+        discard(*id);
     }
 }
 
 void endpoint_pool::trim() {
-    const auto surplus = m_connections.take_idle_above(
+    const auto surplus = m_connections.idle_above(
         m_share.share(), connection_share::idle_timeout_above_share, boot_now());
     for (const connection_id id : surplus) {
-        m_links.at(id)->close();
-        m_links.erase(id);
+        discard(id);
     }
 }
 
--- a/proxy/endpoint_pool.h
+++ b/proxy/endpoint_pool.h
@@ -7,7 +7,10 @@
 #include <optional>
 #include <variant>
 
+#include "daemon/metrics.h"
 #include "daemon/worker.h"
+#include "jasminelead/account.h"
+#include "jasminelead/account_connections.h"
 #include "jasminelead/admission.h"
 #include "jasminelead/concurrency_limit.h"
 #include "jasminelead/connection_pool.h"
@@ -15,6 +18,7 @@
 #include "jasminelead/endpoint_health.h"
 #include "jasminelead/listed_endpoint.h"
 #include "jasminelead/reason.h"
+#include "jasminelead/routing_config.h"
 #include "proxy/endpoint_connection.h"
 #include "proxy/wait_list.h"
 
@@ -27,6 +31,7 @@
     std::uint32_t share = 1;  ///< Weight of the lane.
     instant start_deadline;   ///< Refused at once when a start by then is not expected.
     instant give_up;          ///< End of the wait.
+    authenticated_caller caller;
 };
 
 /// A connection in exclusive use by one statement or transaction.
@@ -35,6 +40,15 @@
     connection_id id = 0;
 };
 
+/// How hosts divide the connections that an endpoint accepts.
+struct connection_limits {
+    std::uint32_t max_connections = 1;  ///< For all hosts together.
+    std::uint32_t hosts = 0;            ///< That share them; 0 if this host keeps none.
+    bool by_account = false;            ///< Each connection belongs to one account.
+    std::uint32_t weight = 0;           ///< Of this host, with `by_account`.
+    std::uint32_t total_weight = 0;     ///< Of all hosts, with `by_account`.
+};
+
 /// Permission to run one statement; counts towards the concurrency limit until `finish`.
 struct run_slot {
     service_id lane;
@@ -52,7 +66,8 @@
 class endpoint_pool : public std::enable_shared_from_this<endpoint_pool> {
 public:
     /// `changed` is notified when the endpoint becomes reachable or unreachable.
-    endpoint_pool(daemon::worker& home, wait_list& changed, listed_endpoint endpoint);
+    endpoint_pool(daemon::worker& home, wait_list& changed, daemon::metrics& counters,
+                  listed_endpoint endpoint);
 
     /// Waits for a connection and a slot to run a statement on it.
     std::variant<acquired_connection, reason> acquire(const work_request& request);
@@ -70,9 +85,9 @@
     /// Opens a new connection as a probe after a statement had no answer.
     void on_answer_missing();
 
-    /// `hosts`: number of hosts that share `max_connections`.
-    void update(const listed_endpoint& endpoint, std::uint32_t max_connections,
-                std::uint32_t hosts);
+    void update(const listed_endpoint& endpoint, const connection_limits& limits);
+    /// Refuses the waiting statements of callers that the configuration no longer admits.
+    void refuse_removed_callers(const routing_config& config);
     /// Stops accepting statements and closes connections as they become idle.
     void retire();
     /// Closes idle connections above this host's share.
@@ -97,6 +112,7 @@
     struct waiter {
         service_id lane;
         service_id kind;
+        authenticated_caller caller;
         bool bound = false;  ///< Has a connection already and waits for a slot only.
         std::function<void(boost::system::error_code)> wake;
         std::optional<run_slot> slot;
@@ -104,28 +120,40 @@
         std::optional<reason> refused;
     };
     using waiter_ptr = std::shared_ptr<waiter>;
+    using waiter_predicate = std::function<bool(const waiter&)>;
 
     waiter_ptr enqueue_and_wait(const work_request& request, bool bound);
     void dispatch_waiting();
     bool dispatch_next();
-    connection_id take_usable_connection();
+    std::optional<admission::dispatched> next_waiting();
+    connection_id take_connection(const waiter& turn);
+    void drop_unusable_connections();
+    bool has_usable_connection(const account_id& account);
+    [[nodiscard]] account_id account_of(const authenticated_caller& caller) const;
     void open_missing_connections();
-    void open_new_connection();
+    void open_connections_of_accounts();
+    bool close_idle_connection_for(const account_id& account, std::uint32_t limit);
+    void open_new_connection(const account_id& account);
+    void discard(connection_id id);
     void connect_to_endpoint(connection_id id);
     void on_opened(connection_id id);
     void on_open_failed(connection_id id, reason why);
     void refuse_unbound_waiters(reason why);
+    void refuse_waiters(const waiter_predicate& is_refused, reason why);
     void schedule_retry(instant at);
     void retry();
     [[nodiscard]] std::uint32_t unbound_waiting() const;
 
     daemon::worker& m_home;
     wait_list& m_changed;
+    daemon::metrics& m_counters;
     listed_endpoint m_endpoint;
     connection_share m_share;
     concurrency_limit m_limit;
     admission m_queue;
     connection_pool m_connections;
+    account_connections m_accounts;
+    bool m_by_account = false;  ///< Each connection belongs to one account.
     std::map<connection_id, std::shared_ptr<endpoint_connection>> m_links;
     std::map<std::uint64_t, waiter_ptr> m_waiters;
     endpoint_health m_health;
--- a/proxy/fleet_state.cc
+++ b/proxy/fleet_state.cc
@@ -16,13 +16,16 @@
 constexpr duration primary_lease_length = 900_ms;
 // A leaving primary serves until it is replaced. The limit stops its use before its process ends.
 constexpr duration max_leaving_use = 5_s;
+// Share of a replica's connections for a gateway of its data centre, relative to one elsewhere.
+constexpr std::uint32_t local_gateway_weight = 3;
 
 }  // namespace
 
-fleet_state::fleet_state(daemon::worker& home, host_placement self)
+fleet_state::fleet_state(daemon::worker& home, host_placement self, daemon::metrics& counters)
     : lease{primary_lease_length},
       changed{home.io()},
       m_home{home},
+      m_counters{counters},
       m_self{std::move(self)},
       m_hosts{m_self} {}
 
@@ -59,7 +62,7 @@
         pool = nullptr;
     }
     if (!pool) {
-        pool = std::make_shared<endpoint_pool>(m_home, changed, endpoint);
+        pool = std::make_shared<endpoint_pool>(m_home, changed, m_counters, endpoint);
     }
     m_gateways.erase(endpoint.entry.group);
     update_pool(*pool, endpoint);
@@ -111,27 +114,75 @@
     return result;
 }
 
-const std::vector<host_id>& fleet_state::gateways(const group_id& group) {
+bool fleet_state::uses_accounts() const {
+    return config.current() && !config.current()->accounts.empty();
+}
+
+caller_check fleet_state::check(const authenticated_caller& caller) const {
+    if (caller.identity.account.empty() || !config.current()) {
+        return caller_check::admitted;
+    }
+    if (!config.current()->still_admits(caller)) {
+        return caller_check::key_removed;
+    }
+    return trusts_accounts(daemon::boot_now()) ? caller_check::admitted : caller_check::unconfirmed;
+}
+
+bool fleet_state::trusts_accounts(instant now) const {
+    return !uses_accounts() || trust.allows(config_age(now));
+}
+
+const fleet_state::group_gateways& fleet_state::known_gateways(const group_id& group) {
     const auto known = m_gateways.find(group);
     if (known != m_gateways.end()) {
         return known->second;
     }
-    const auto chosen = choose_gateways(group, m_hosts, capacity(group));
-    return m_gateways.emplace(group, order_gateways(group, chosen, m_self)).first->second;
+    group_gateways gateways;
+    gateways.chosen = choose_gateways(group, m_hosts, capacity(group));
+    gateways.ordered = order_gateways(group, gateways.chosen, m_self);
+    return m_gateways.emplace(group, std::move(gateways)).first->second;
 }
 
-bool fleet_state::is_gateway(const group_id& group) {
-    const auto& hosts = gateways(group);
-    // When this host is a gateway of the group, it comes first.
-    return hosts.empty() || hosts.front() == m_self.host;
+std::vector<host_id> fleet_state::gateways(const group_id& group, const account_id& account) {
+    const group_gateways& known = known_gateways(group);
+    return account.empty()
+               ? known.ordered
+               : order_gateways_for_account(group, account, known.chosen, m_self.data_centre);
+}
+
+bool fleet_state::is_gateway(const group_id& group, const account_id& account) {
+    // When this host is a gateway of the group, it comes first, unless the account has another one.
+    const auto is_first = [this](const std::vector<host_id>& hosts) {
+        return hosts.empty() || hosts.front() == m_self.host;
+    };
+    return account.empty() ? is_first(known_gateways(group).ordered)
+                           : is_first(gateways(group, account));
+}
+
+/// Reads run in the data centre of the caller while its replica is recent enough, so that most
+/// statements for a replica come from there. Those for a primary come from all hosts.
+connection_limits fleet_state::limits_for(const listed_endpoint& endpoint) {
+    const group_id& group = endpoint.entry.group;
+    connection_limits limits;
+    limits.max_connections = config.current() ? config.current()->max_connections(group) : 1;
+    const bool keeps_some = is_gateway(group);
+    const auto& gateways = known_gateways(group).chosen;
+    limits.hosts = keeps_some ? static_cast<std::uint32_t>(gateways.size()) : 0;
+    limits.by_account = uses_accounts();
+    const auto weight_in = [&](const data_centre_id& data_centre) -> std::uint32_t {
+        const bool is_local = data_centre == endpoint.entry.data_centre;
+        return endpoint.role == endpoint_role::replica && is_local ? local_gateway_weight : 1;
+    };
+    for (const host_placement& gateway : gateways) {
+        limits.total_weight += weight_in(gateway.data_centre);
+    }
+    limits.weight = keeps_some ? weight_in(m_self.data_centre) : 0;
+    return limits;
 }
 
 void fleet_state::update_pool(endpoint_pool& pool, const listed_endpoint& endpoint) {
     const listed_endpoint present = endpoint;
-    const group_id& group = present.entry.group;
-    const std::size_t sharing = is_gateway(group) ? gateways(group).size() : 0;
-    const std::uint32_t limit = config.current() ? config.current()->max_connections(group) : 1;
-    pool.update(present, limit, static_cast<std::uint32_t>(sharing));
+    pool.update(present, limits_for(present));
 }
 
 void fleet_state::update_pools() {
@@ -157,6 +208,9 @@
 
 void fleet_state::on_config() {
     update_pools();
+    for (const auto& [id, pool] : m_pools) {
+        pool->refuse_removed_callers(*config.current());
+    }
     changed.notify_all();
 }
 
--- a/proxy/gateway_messages.cc
+++ b/proxy/gateway_messages.cc
@@ -126,6 +126,24 @@
             {point, number_of(*fields, "leadership").value_or(0)}};
 }
 
+json::object encode_caller(const authenticated_caller& caller) {
+    return {{"account", caller.identity.account.str()},
+            {"key_id", caller.identity.key_id},
+            {"version", caller.version}};
+}
+
+authenticated_caller decode_caller(const json::object& object) {
+    const json::object* const fields = object_of(object, "caller");
+    if (fields == nullptr) {
+        return {};
+    }
+    authenticated_caller caller;
+    caller.identity.account = account_id{text_of(*fields, "account").value_or("")};
+    caller.identity.key_id = number_of(*fields, "key_id").value_or(0);
+    caller.version = number_of(*fields, "version").value_or(0);
+    return caller;
+}
+
 json::object encode_values(const session_data& session) {
     json::object values;
     for (const auto& [name, value] : session.values) {
@@ -145,6 +163,9 @@
                         {"commits", request.commits},
                         {"may_decline", request.may_decline},
                         {"values", encode_values(request.session)}};
+    if (!request.session.caller.identity.account.empty()) {
+        object.emplace("caller", encode_caller(request.session.caller));
+    }
     const group_id& group = request.route.group;
     encode_write(object, last_write(request.session, group), group);
     return json::serialize(object);
@@ -179,6 +200,7 @@
         const std::string name{member.key()};
         request.session.values[name] = text_of(*values, name).value_or("");
     }
+    request.session.caller = decode_caller(*object);
     const group_write written = decode_write(*object);
     record_write(request.session, written.group, written.write);
     return request;
--- a/proxy/session.cc
+++ b/proxy/session.cc
@@ -31,6 +31,8 @@
             return "cut_off";
         case session_end::grace_period_expired:
             return "grace_over";
+        case session_end::key_removed:
+            return "key_removed";
         case session_end::startup_refused:
             return "startup_refused";
         case session_end::too_large:
@@ -130,6 +132,7 @@
         return false;
     }
     m_database = startup->database;
+    m_key = key_digest::of(startup->key);
     const instant give_up = boot_now() + config_timeout;
     while (!m_fleet.config.current() && m_fleet.changed.wait(to_steady(give_up))) {
     }
@@ -141,14 +144,11 @@
         return false;
     }
     if (route() == nullptr) {
-        m_counters.count("refusals", "unknown_database");
-        log_line{log_class::refusal, "startup_refused"}
-            .with("database", m_database)
-            .with("reason", "unknown_database")
-            .with("config", m_fleet.config.version())
-            .write();
-        platform::encode_error(m_out, statement_fault::unknown_database, m_database);
-        flush();
+        refuse_startup(statement_fault::unknown_database, "unknown_database", m_database);
+        return false;
+    }
+    if (!authenticate()) {
+        refuse_startup(statement_fault::unauthorized, "unknown_key", "unknown key");
         return false;
     }
     platform::encode_ready(m_out, m_state);
@@ -158,6 +158,74 @@
     return true;
 }
 
+void session::refuse_startup(statement_fault fault, std::string_view why, std::string_view text) {
+    m_counters.count("refusals", why);
+    log_line{log_class::refusal, "startup_refused"}
+        .with("database", m_database)
+        .with("reason", why)
+        .with("config", m_fleet.config.version())
+        .write();
+    platform::encode_error(m_out, fault, text);
+    flush();
+}
+
+/// Authenticates again after each change of the configuration: the route may have become public, or
+/// the key may belong to another account. Within a transaction the account stays the same.
+bool session::authenticate() {
+    const auto& config = m_fleet.config.current();
+    if (config->version == m_data.caller.version) {
+        return true;
+    }
+    const database_route* const current_route = config->find(m_database);
+    if (m_transaction_begun || current_route == nullptr) {
+        return config->still_admits(m_data.caller);
+    }
+    const auto identity = config->authenticate(*current_route, m_key);
+    if (identity) {
+        m_data.caller = {*identity, config->version};
+    }
+    return identity.has_value();
+}
+
+/// Answers the statement and returns true if its caller may not be served.
+bool session::refuse_unless_admitted(bool ends_transaction) {
+    const bool has_key = authenticate();
+    if (has_key && m_fleet.check(m_data.caller) == caller_check::admitted) {
+        return false;
+    }
+    m_counters.count("refusals", has_key ? "accounts_unconfirmed" : "key_removed");
+    const bool was_begun = m_transaction_begun;
+    if (was_begun) {
+        fail_transaction();
+    }
+    if (!has_key) {
+        m_key_removed = true;
+        m_end = session_end::key_removed;
+        m_transaction_begun = false;
+        m_state = transaction_state::idle;
+        reply_fault(statement_fault::unauthorized, "the key was removed; not run");
+        return true;
+    }
+    if (ends_transaction) {
+        return false;
+    }
+    reply_fault(was_begun ? statement_fault::aborted : statement_fault::busy,
+                "the accounts known to this host may be out of date; not run");
+    return true;
+}
+
+void session::end_if_key_removed() {
+    if (!m_stream.is_open() || m_data.caller.identity.account.empty() ||
+        m_fleet.config.current()->still_admits(m_data.caller)) {
+        return;
+    }
+    if (m_awaits_statement && m_stream.is_connected_and_idle()) {
+        end(session_end::key_removed);
+    } else {
+        m_close_when_idle = true;
+    }
+}
+
 const database_route* session::route() {
     if (!m_transaction_begun || !m_transaction_config) {
         m_transaction_config = m_fleet.config.current();
@@ -179,6 +247,9 @@
     }
     flush();
     m_last_answer = boot_now();
+    if (m_key_removed) {
+        return false;
+    }
     // Closing right after the answer tells the caller before it sends its next statement.
     const bool ends_here = m_close_when_idle && m_received.empty() && !m_transaction_begun;
     if (ends_here && m_stream.is_connected_and_idle()) {
@@ -191,6 +262,9 @@
     const caller_statement decoded = platform::decode_statement(query.text);
     const bool ends = std::holds_alternative<commit_statement>(decoded) ||
                       std::holds_alternative<rollback_statement>(decoded);
+    if (refuse_unless_admitted(ends && m_transaction_begun)) {
+        return;
+    }
     if (m_abort_transaction && m_transaction_begun) {
         m_counters.count("aborted_transactions", "stopping");
         fail_transaction();
--- a/proxy/session.h
+++ b/proxy/session.h
@@ -22,6 +22,7 @@
     stopping,
     cut_off,
     grace_period_expired,
+    key_removed,
     startup_refused,
     too_large,
     unexpected_error
@@ -44,6 +45,9 @@
     bool close_if_idle(session_end reason);
     /// Ends the session at once.
     void abort(session_end reason) { end(reason); }
+    /// Ends the session if its caller's key was removed, unless a statement is in progress: that
+    /// session ends with its next statement.
+    void end_if_key_removed();
     /// Rolls an open transaction back at the caller's next statement, so that the session can end.
     void end_transaction() { m_abort_transaction = m_transaction_begun; }
 
@@ -53,6 +57,9 @@
     void end(session_end reason);
     void log_end();
     bool start();
+    void refuse_startup(statement_fault fault, std::string_view why, std::string_view text);
+    bool authenticate();
+    bool refuse_unless_admitted(bool ends_transaction);
     std::optional<std::string> read_line(steady_time deadline);
     steady_time idle_deadline() const;
     bool handle(const std::string& line);
@@ -78,6 +85,7 @@
     platform::line_buffer m_received;
     std::string m_out;
     std::string m_database;
+    key_digest m_key;
     session_data m_data;
     transaction_state m_state = transaction_state::idle;
     bool m_transaction_begun = false;  ///< Set by BEGIN, before an endpoint has begun it.
@@ -92,6 +100,7 @@
     bool m_awaits_statement = false;  ///< Waits for the caller's next statement.
     bool m_close_when_idle = false;
     bool m_abort_transaction = false;
+    bool m_key_removed = false;
 };
 
 }  // namespace jasminelead::proxy
--- a/proxy/session_daemon.cc
+++ b/proxy/session_daemon.cc
@@ -14,6 +14,7 @@
 
 constexpr duration log_flush_interval = 100_ms;
 constexpr duration isolation_check_interval = 20_ms;
+constexpr duration key_check_interval = 100_ms;
 constexpr std::size_t max_sessions_ended_at_once = 10;
 constexpr duration stop_poll_interval = 20_ms;
 // The load balancer removes a daemon after two failed probes, which are one second apart.
@@ -28,7 +29,7 @@
 
 session_daemon::session_daemon(settings options)
     : m_settings{std::move(options)},
-      m_fleet{m_home, {m_settings.host, m_settings.data_centre, m_settings.cpu_share}},
+      m_fleet{m_home, {m_settings.host, m_settings.data_centre, m_settings.cpu_share}, m_counters},
       m_mirror{m_fleet, m_counters},
       m_sync{m_fleet, m_mirror, m_counters, m_settings},
       m_peers{m_fleet, m_sync, m_counters, m_settings},
@@ -86,6 +87,7 @@
         m_home.spawn([this] { run_isolation_check(); });
     });
     return std::nullopt;
+        m_home.spawn([this] { run_key_check(); });
 }
 
 void session_daemon::serve(daemon::tcp::socket socket) {
@@ -98,7 +100,8 @@
 
 bool session_daemon::is_ready() const {
     return !m_stopping && m_fleet.config.current() != nullptr &&
-           !m_peers.is_unconfirmed(boot_now()) && !m_peers.is_isolated(boot_now());
+           m_fleet.trusts_accounts(boot_now()) && !m_peers.is_unconfirmed(boot_now()) &&
+           !m_peers.is_isolated(boot_now());
 }
 
 page session_daemon::readiness_page() {
@@ -179,6 +182,21 @@
 void session_daemon::run_isolation_check() {
     while (!m_stopping) {
         const instant now = boot_now();
+/// Ends the sessions of removed keys when a configuration arrives.
+void session_daemon::run_key_check() {
+    revision_number checked = 0;
+    while (!m_stopping) {
+        if (m_fleet.config.version() != checked) {
+            checked = m_fleet.config.version();
+            const std::vector<std::shared_ptr<session>> open{m_sessions.begin(), m_sessions.end()};
+            for (const auto& item : open) {
+                item->end_if_key_removed();
+            }
+        }
+        boost::this_fiber::sleep_until(to_steady(boot_now() + key_check_interval));
+    }
+}
+
         m_router.set_unconfirmed(m_peers.is_unconfirmed(now) || m_peers.is_isolated(now));
         if (should_close_sessions(now)) {
             close_idle_sessions(session_end::cut_off);
--- a/proxy/session_daemon.h
+++ b/proxy/session_daemon.h
@@ -61,6 +61,7 @@
     bool should_close_sessions(instant now);
     void close_idle_sessions(session_end reason);
     void run_isolation_check();
+    void run_key_check();
     void run_log_flush();
     void run_stop();
     void close_listeners();
--- a/proxy/session_data.h
+++ b/proxy/session_data.h
@@ -20,6 +20,7 @@
 };
 
 struct session_data {
+    authenticated_caller caller;
     std::map<std::string, std::string> values;
     std::map<std::string, prepared_statement, std::less<>> prepared;
     /// Last write to each group. A route can move to another group and back during the session.
--- a/proxy/settings.cc
+++ b/proxy/settings.cc
@@ -48,7 +48,7 @@
     }
     double number_or(const char* name, double fallback, double min, double max) {
         const YAML::Node node = find(name);
-        if (!node) {
+        if (!node || node.IsNull()) {
             return fallback;
         }
         double value = 0;
@@ -59,6 +59,18 @@
         }
         return value;
     }
+    /// An empty value counts as absent.
+    bool flag_or(const char* name, bool fallback) {
+        const YAML::Node node = find(name);
+        if (!node || node.IsNull()) {
+            return fallback;
+        }
+        bool value = fallback;
+        if (!YAML::convert<bool>::decode(node, value)) {
+            m_errors.push_back(std::string{name} + ": must be true or false");
+        }
+        return value;
+    }
     /// Reads a comma-separated list; empty when absent.
     std::vector<std::string> list(const char* name) {
         std::vector<std::string> values;
@@ -100,6 +112,7 @@
     result.listen = members.address("listen");
     result.readiness = members.address("readiness");
     result.address = members.text("address");
+    constexpr double max_revocation_limit_ms = 600'000;
     result.metrics_port =
         static_cast<std::uint16_t>(members.number_or("metrics_port", 0, 0, max_port));
     result.peer = members.address("peer");
--- a/proxy/settings.h
+++ b/proxy/settings.h
@@ -6,6 +6,8 @@
 #include <variant>
 #include <vector>
 
+#include "jasminelead/account.h"
+#include "jasminelead/read_selector.h"
 #include "jasminelead/types.h"
 
 /// Settings of a daemon that serves sessions.
--- a/proxy/statement_attempt.cc
+++ b/proxy/statement_attempt.cc
@@ -40,8 +40,12 @@
 work_request statement_attempt::work() const {
     const instant now = boot_now();
     const instant goal = statement.arrived + route.latency_goal;
-    return {service_id{std::to_string(route.priority)}, service_id{route.database},
-            queue_weight(route.priority), std::max(goal, now + min_start_time), give_up};
+    return {service_id{std::to_string(route.priority)},
+            service_id{route.database},
+            queue_weight(route.priority),
+            std::max(goal, now + min_start_time),
+            give_up,
+            caller};
 }
 
 }  // namespace jasminelead::proxy
--- a/proxy/statement_attempt.h
+++ b/proxy/statement_attempt.h
@@ -17,6 +17,7 @@
 struct statement_attempt {
     const database_route& route;
     const forwarded_statement& statement;
+    const authenticated_caller& caller;
     instant give_up;
     std::set<endpoint_id> excluded;  ///< Not tried again until the next wait.
     std::optional<log_point> after;  ///< Log point that the read must see.
@@ -29,8 +30,12 @@
     /// The last reason why each endpoint was not used.
     std::map<endpoint_id, std::string_view> skip_reasons;
 
-    statement_attempt(const database_route& route_used, const forwarded_statement& run)
-        : route{route_used}, statement{run}, give_up{run.arrived + route_used.statement_timeout} {}
+    statement_attempt(const session_data& session, const database_route& route_used,
+                      const forwarded_statement& run)
+        : route{route_used},
+          statement{run},
+          caller{session.caller},
+          give_up{run.arrived + route_used.statement_timeout} {}
 
     [[nodiscard]] bool is_over() const;
     /// Excludes the endpoint until the next wait.
--- a/proxy/statement_dispatcher.cc
+++ b/proxy/statement_dispatcher.cc
@@ -31,19 +31,21 @@
 
 /// In a partial network partition only some hosts reach a primary. A gateway that does not reach it
 /// passes the statements that need the primary to another gateway.
-bool statement_dispatcher::runs_locally(const database_route& route, bool needs_primary) {
+bool statement_dispatcher::runs_locally(const session_data& session, const database_route& route,
+                                        bool needs_primary) {
     if (m_router.is_unconfirmed()) {
         return true;
     }
-    return m_fleet.is_gateway(route.group) &&
+    return m_fleet.is_gateway(route.group, session.caller.identity.account) &&
            !(needs_primary && m_router.is_primary_unavailable_here(route.group));
 }
 
 /// The statement has not run, and the primary became unavailable to this host while it waited.
 bool statement_dispatcher::should_pass_on(const statement_outcome& outcome,
-                                          const database_route& route, bool needs_primary) {
+                                          const session_data& session, const database_route& route,
+                                          bool needs_primary) {
     return outcome.fault == statement_fault::busy && needs_primary &&
-           !runs_locally(route, needs_primary);
+           !runs_locally(session, route, needs_primary);
 }
 
 gateway_request statement_dispatcher::make_request(gateway_action action,
@@ -55,6 +57,7 @@
     request.route = route;
     request.statement = statement;
     request.session.values = session.values;
+    request.session.caller = session.caller;
     record_write(request.session, route.group, last_write(session, route.group));
     return request;
 }
@@ -68,7 +71,8 @@
         request.action == gateway_action::begin || request.statement.kind == access::read;
     request.may_decline = true;
     int asked = 0;
-    const std::vector<host_id> gateways = m_fleet.gateways(request.route.group);
+    const std::vector<host_id> gateways =
+        m_fleet.gateways(request.route.group, session.caller.identity.account);
     for (const host_id& gateway : gateways) {
         const bool usable =
             gateway != m_fleet.host() && m_gateway_client.is_usable(gateway, request.route.group);
@@ -129,9 +133,9 @@
                                             const forwarded_statement& statement) {
     const bool writes = statement.kind == access::write;
     const bool needs_primary = writes || route.policy == read_policy::primary;
-    if (runs_locally(route, needs_primary)) {
+    if (runs_locally(session, route, needs_primary)) {
         auto outcome = m_router.run(session, route, statement, when_full::refuse);
-        if (!should_pass_on(outcome, route, needs_primary)) {
+        if (!should_pass_on(outcome, session, route, needs_primary)) {
             return outcome;
         }
     }
@@ -155,9 +159,9 @@
                                                              const forwarded_statement& first,
                                                              bool read_only) {
     const bool needs_primary = !read_only || route.policy == read_policy::primary;
-    if (runs_locally(route, needs_primary)) {
+    if (runs_locally(session, route, needs_primary)) {
         auto begun = begin_locally(session, route, first, read_only, when_full::refuse);
-        if (begun.transaction || !should_pass_on(begun.outcome, route, needs_primary)) {
+        if (begun.transaction || !should_pass_on(begun.outcome, session, route, needs_primary)) {
             return begun;
         }
     }
@@ -198,7 +202,7 @@
                                                      const forwarded_statement& commit,
                                                      bool read_only) {
     const bool needs_primary = !read_only || route.policy == read_policy::primary;
-    if (runs_locally(route, needs_primary)) {
+    if (runs_locally(session, route, needs_primary)) {
         return commit_empty_locally(session, route, commit, read_only);
     }
     auto request = make_request(gateway_action::begin, session, route, commit);
--- a/proxy/statement_dispatcher.h
+++ b/proxy/statement_dispatcher.h
@@ -58,9 +58,10 @@
     /// A gateway's answer, or a fault that tells whether the statement may have run.
     using relay_result = std::variant<relayed_answer, gateway_fault>;
 
-    [[nodiscard]] bool runs_locally(const database_route& route, bool needs_primary);
-    bool should_pass_on(const statement_outcome& outcome, const database_route& route,
-                        bool needs_primary);
+    [[nodiscard]] bool runs_locally(const session_data& session, const database_route& route,
+                                    bool needs_primary);
+    bool should_pass_on(const statement_outcome& outcome, const session_data& session,
+                        const database_route& route, bool needs_primary);
     relay_result relay(gateway_request& request, session_data& session);
     gateway_request make_request(gateway_action action, const session_data& session,
                                  const database_route& route,
--- a/proxy/statement_router.cc
+++ b/proxy/statement_router.cc
@@ -123,6 +123,24 @@
     const session_writes own =
         sees_own_writes ? last_write(session, route.group) : session_writes{};
     const read_bounds& bounds = m_fleet.bounds(route.group);
+/// The key of the statement's caller may be removed while the statement waits.
+std::optional<statement_outcome> statement_router::refuse_unless_admitted(
+    const statement_attempt& current) {
+    switch (m_fleet.check(current.caller)) {
+        case caller_check::admitted:
+            return std::nullopt;
+        case caller_check::key_removed: {
+            auto refusal = refuse(current, "key_removed", "the caller's key was removed; not run");
+            refusal.fault = statement_fault::unauthorized;
+            return refusal;
+        }
+        case caller_check::unconfirmed:
+            return refuse(current, "accounts_unconfirmed",
+                          "the accounts known to this host may be out of date; not run");
+    }
+    return std::nullopt;
+}
+
     current.after = bounds.required(current.statement.arrived, route.max_stale, own);
     current.point_age = current.after ? bounds.lag(*current.after, boot_now()) : route.max_stale;
 }
@@ -148,6 +166,9 @@
         const auto pool = choose_read_pool(current);
         if (!pool) {
             if (const auto refusal = wait_for_endpoint(current)) {
+        if (auto refusal = refuse_unless_admitted(current)) {
+            return *refusal;
+        }
                 return *refusal;
             }
             continue;
@@ -165,7 +186,8 @@
         if (permit && permit->primary != endpoint) {
             permit.reset();
         }
-        if (current.after || permit) {
+        const bool admitted = m_fleet.check(current.caller) == caller_check::admitted;
+        if (admitted && (current.after || permit)) {
             return acquired_endpoint{pool, permit, run};
         }
         // Without a log point only the primary may answer, and its lease expired during the wait.
@@ -176,7 +198,7 @@
 
 statement_outcome statement_router::run_read(session_data& session, const database_route& route,
                                              const forwarded_statement& statement) {
-    statement_attempt current{route, statement};
+    statement_attempt current{session, route, statement};
     for (;;) {
         const auto acquired = acquire_read_endpoint(current, session);
         if (const auto* const refusal = std::get_if<statement_outcome>(&acquired)) {
@@ -270,6 +292,9 @@
         const auto permit = m_fleet.lease.permit(group, boot_now());
         const auto pool = permit ? m_fleet.pool(permit->primary) : nullptr;
         if (!pool || pool->is_retired() || !pool->health().is_reachable()) {
+        if (auto refusal = refuse_unless_admitted(current)) {
+            return *refusal;
+        }
             const auto choice = m_outages.on_unavailable(group, m_fleet.lease.record(group),
                                                          boot_now(), current.give_up);
             if (m_is_unconfirmed || choice == outage_decision::refuse) {
@@ -304,7 +329,8 @@
             m_counters.count("retries", "idle_connection_lost");
             continue;
         }
-        if (!m_fleet.lease.is_valid(group, *permit, boot_now())) {
+        const bool admitted = m_fleet.check(current.caller) == caller_check::admitted;
+        if (!admitted || !m_fleet.lease.is_valid(group, *permit, boot_now())) {
             pool->finish(run.slot);
             pool->release_connection(run.connection, true);
             continue;
@@ -343,7 +369,7 @@
                                                    const database_route& route,
                                                    const forwarded_statement& statement,
                                                    when_full choice) {
-    statement_attempt current{route, statement};
+    statement_attempt current{session, route, statement};
     current.may_pass_on = choice == when_full::refuse;
     const bool writes = statement.kind == access::write;
     for (;;) {
--- a/proxy/statement_router.h
+++ b/proxy/statement_router.h
@@ -114,6 +114,7 @@
                              std::string_view text);
     void record_lost_answer(const statement_attempt& current, endpoint_pool& pool,
                             const held_connection& connection, connection_fault fault);
+    std::optional<statement_outcome> refuse_unless_admitted(const statement_attempt& current);
     void record_mark(const group_id& group, const std::optional<primary_permit>& permit,
                      instant sent, const endpoint_answer& answer);
     void log_attempt(const statement_attempt& current, const endpoint_id& endpoint,
--- a/proxy/statement_router_transactions.cc
+++ b/proxy/statement_router_transactions.cc
@@ -34,7 +34,7 @@
 std::variant<open_transaction, statement_outcome> statement_router::begin(
     session_data& session, const database_route& route, const forwarded_statement& first,
     bool read_only, when_full choice) {
-    statement_attempt current{route, first};
+    statement_attempt current{session, route, first};
     current.may_pass_on = choice == when_full::refuse;
     const bool may_use_replica = read_only && route.policy != read_policy::primary;
     forwarded_statement begin_query;
@@ -80,6 +80,9 @@
 /// Returns the slot that the begin acquired if it is still unused, otherwise waits for a new one.
 std::variant<run_slot, reason> statement_router::take_slot(open_transaction& transaction,
                                                            const statement_attempt& current) {
+    if (m_fleet.check(current.caller) != caller_check::admitted) {
+        return reason::key_removed;
+    }
     if (transaction.slot) {
         const run_slot slot = *transaction.slot;
         transaction.slot.reset();
@@ -114,7 +117,7 @@
                                                       session_data& session,
                                                       const database_route& route,
                                                       const forwarded_statement& statement) {
-    statement_attempt current{route, statement};
+    statement_attempt current{session, route, statement};
     current.record_revision = revision_of(transaction.permit);
     const endpoint_id endpoint = transaction.pool->endpoint().entry.id;
     for (;;) {
@@ -155,7 +158,7 @@
 statement_outcome statement_router::commit(open_transaction& transaction, session_data& session,
                                            const database_route& route,
                                            const forwarded_statement& statement) {
-    statement_attempt current{route, statement};
+    statement_attempt current{session, route, statement};
     current.record_revision = revision_of(transaction.permit);
     const endpoint_id endpoint = transaction.pool->endpoint().entry.id;
     const bool needs_valid_lease = transaction.wrote && transaction.permit;
--- a/proxy/status_query.cc
+++ b/proxy/status_query.cc
@@ -23,7 +23,7 @@
     // Uses a separate connection, because pooled ones may be in use or unresponsive.
     endpoint_connection link{fleet.home().io()};
     const auto deadline = to_steady(boot_now() + status_timeout);
-    const auto opened = link.open(pool->endpoint().entry, deadline);
+    const auto opened = link.open(pool->endpoint().entry, account_id{}, deadline);
     if (const auto* const refusal = std::get_if<statement_fault>(&opened)) {
         return {std::nullopt, to_string(*refusal)};
     }
--- a/src/admission.cc
+++ b/src/admission.cc
@@ -1,6 +1,7 @@
 #include "jasminelead/admission.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace jasminelead {
@@ -55,7 +56,8 @@
         queue.start = std::max(queue.start, m_virtual_time);
     }
     entries& list = request.holds_connection ? queue.bound : queue.unbound;
-    list.insert(insertion_point(list, request.deadline), {request.deadline, request.number});
+    list.insert(insertion_point(list, request.deadline),
+                {request.deadline, request.number, request.account});
     ++m_size;
     return {std::nullopt, evicted};
 }
@@ -99,13 +101,28 @@
 
 std::optional<admission::dispatched> admission::pop(bool connection_idle,
                                                     const service_predicate& below_share) {
+    return pop_next(below_share, [connection_idle](const account_id&) { return connection_idle; });
+}
+
+std::optional<admission::dispatched> admission::pop_for_account(
+    const account_predicate& has_connection) {
+    return pop_next([](const service_id&) { return true; }, has_connection);
+}
+
+std::optional<admission::dispatched> admission::pop_next(const service_predicate& below_share,
+                                                         const account_predicate& has_connection) {
     service_queue* best = nullptr;
     entries* from = nullptr;
+    entries::iterator at;
     for (auto& [service, queue] : m_service_queues) {
         if (queue.size() == 0) {
             continue;
         }
-        bool unbound = connection_idle && !queue.unbound.empty();
+        // The entry with the earliest deadline is at the back.
+        const auto next =
+            std::find_if(queue.unbound.rbegin(), queue.unbound.rend(),
+                         [&](const entry& item) { return has_connection(item.account); });
+        bool unbound = next != queue.unbound.rend();
         if (unbound && !below_share(service)) {
             // A service at its own connection limit must not accumulate credit.
             unbound = false;
@@ -115,21 +132,21 @@
             continue;
         }
         const bool take_bound =
-            !unbound ||
-            (!queue.bound.empty() && queue.bound.back().deadline <= queue.unbound.back().deadline);
+            !unbound || (!queue.bound.empty() && queue.bound.back().deadline <= next->deadline);
         best = &queue;
         from = take_bound ? &queue.bound : &queue.unbound;
+        at = take_bound ? std::prev(queue.bound.end()) : std::prev(next.base());
     }
     if (best == nullptr) {
         return std::nullopt;
     }
-    return take(*best, *from);
+    return take(*best, *from, at);
 }
 
-admission::dispatched admission::take(service_queue& queue, entries& from) {
+admission::dispatched admission::take(service_queue& queue, entries& from, entries::iterator at) {
     const duration charged = m_mean > duration{} ? m_mean : assumed_time;
-    const dispatched result{from.back().number, charged};
-    from.pop_back();
+    const dispatched result{at->number, charged};
+    from.erase(at);
     --m_size;
     m_virtual_time = std::max(m_virtual_time, queue.start);
     queue.start += static_cast<double>(charged.us()) / queue.share;
@@ -159,6 +176,27 @@
     return removed;
 }
 
+std::vector<account_demand> admission::waiting_accounts() const {
+    std::map<account_id, account_demand> demands;
+    for (const auto& [service, queue] : m_service_queues) {
+        for (const entry& item : queue.unbound) {
+            account_demand& demand =
+                demands.try_emplace(item.account, account_demand{item.account, 0, item.deadline})
+                    .first->second;
+            ++demand.waiting;
+            demand.first_deadline = std::min(demand.first_deadline, item.deadline);
+        }
+    }
+    std::vector<account_demand> result;
+    for (const auto& [account, demand] : demands) {
+        result.push_back(demand);
+    }
+    std::stable_sort(result.begin(), result.end(), [](const auto& a, const auto& b) {
+        return a.first_deadline < b.first_deadline;
+    });
+    return result;
+}
+
 std::vector<std::uint64_t> admission::take_expired(instant now) {
     std::vector<std::uint64_t> expired;
     for (auto& [service, queue] : m_service_queues) {
--- a/src/connection_pool.cc
+++ b/src/connection_pool.cc
@@ -1,6 +1,7 @@
 #include "jasminelead/connection_pool.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace jasminelead {
 namespace {
@@ -21,8 +22,8 @@
     return allowed > size() ? allowed - size() : 0;
 }
 
-void connection_pool::add_opening(connection_id id) {
-    m_connections.emplace(id, pooled_connection{});
+void connection_pool::add_opening(connection_id id, const account_id& account) {
+    m_connections[id].account = account;
     ++m_opening;
 }
 
@@ -42,8 +43,30 @@
     if (m_idle.empty()) {
         return std::nullopt;
     }
-    const connection_id id = m_idle.back();
-    m_idle.pop_back();
+    return use(std::prev(m_idle.end()), service, now);
+}
+
+std::optional<connection_id> connection_pool::idle_of_account(const account_id& account) const {
+    const auto found = std::find_if(m_idle.rbegin(), m_idle.rend(), [&](const connection_id id) {
+        return m_connections.at(id).account == account;
+    });
+    return found == m_idle.rend() ? std::nullopt : std::optional{*found};
+}
+
+std::optional<connection_id> connection_pool::take_of_account(const account_id& account,
+                                                              const service_id& service,
+                                                              instant now) {
+    const auto id = idle_of_account(account);
+    if (!id) {
+        return std::nullopt;
+    }
+    return use(std::find(m_idle.begin(), m_idle.end(), *id), service, now);
+}
+
+connection_id connection_pool::use(std::vector<connection_id>::iterator at,
+                                   const service_id& service, instant now) {
+    const connection_id id = *at;
+    m_idle.erase(at);
     pooled_connection& connection = m_connections.at(id);
     connection.state = pooled_connection::phase::in_use;
     connection.service = service;
@@ -99,19 +122,17 @@
     return surplus;
 }
 
-std::vector<connection_id> connection_pool::take_idle_above(std::uint32_t keep, duration idle_for,
-                                                            instant now) {
-    std::vector<connection_id> taken;
-    while (!m_idle.empty() && size() > keep) {
-        const connection_id id = m_idle.front();
-        if (m_connections.at(id).idle_since + idle_for > now) {
+std::vector<connection_id> connection_pool::idle_above(std::uint32_t keep, duration idle_for,
+                                                       instant now) const {
+    std::vector<connection_id> surplus;
+    for (const connection_id id : m_idle) {
+        const bool is_recent = m_connections.at(id).idle_since + idle_for > now;
+        if (is_recent || size() - surplus.size() <= keep) {
             break;
         }
-        m_idle.erase(m_idle.begin());
-        m_connections.erase(id);
-        taken.push_back(id);
+        surplus.push_back(id);
     }
-    return taken;
+    return surplus;
 }
 
 std::vector<connection_id> connection_pool::take_all() {
@@ -132,6 +153,22 @@
     return static_cast<std::uint32_t>(m_connections.size());
 }
 
+std::uint32_t connection_pool::count(const account_id& account,
+                                     pooled_connection::phase state) const {
+    return static_cast<std::uint32_t>(
+        std::count_if(m_connections.begin(), m_connections.end(), [&](const auto& item) {
+            return item.second.account == account && item.second.state == state;
+        }));
+}
+
+std::uint32_t connection_pool::opening(const account_id& account) const {
+    return count(account, pooled_connection::phase::opening);
+}
+
+std::uint32_t connection_pool::idle(const account_id& account) const {
+    return count(account, pooled_connection::phase::idle);
+}
+
 std::uint32_t connection_pool::in_use(const service_id& service) const {
     const auto found = m_service_use.find(service);
     return found == m_service_use.end() ? 0 : found->second;
--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -36,6 +36,20 @@
     return std::max<std::size_t>((total + data_centres - 1) / data_centres, 1);
 }
 
+/// Hosts in ascending order of their rank.
+template <class Rank>
+std::vector<host_id> order_by(std::span<const host_placement> gateways, Rank rank) {
+    placements ordered{gateways.begin(), gateways.end()};
+    std::sort(ordered.begin(), ordered.end(),
+              [&rank](const auto& a, const auto& b) { return rank(a) < rank(b); });
+    std::vector<host_id> hosts;
+    hosts.reserve(ordered.size());
+    for (const host_placement& placement : ordered) {
+        hosts.push_back(placement.host);
+    }
+    return hosts;
+}
+
 }  // namespace
 
 std::uint64_t host_weight(const group_id& group, const host_id& host) {
@@ -67,21 +81,22 @@
 
 std::vector<host_id> order_gateways(const group_id& group, std::span<const host_placement> gateways,
                                     const host_placement& requester) {
-    std::vector<host_placement> ordered{gateways.begin(), gateways.end()};
     const std::string request_key = group.str() + "/" + requester.host.str();
-    const auto rank = [&](const host_placement& placement) {
+    return order_by(gateways, [&](const host_placement& placement) {
         return std::tuple{placement.host != requester.host,
                           placement.data_centre != requester.data_centre,
                           weight(request_key, placement.host.str()), placement.host};
-    };
-    std::sort(ordered.begin(), ordered.end(),
-              [&rank](const auto& a, const auto& b) { return rank(a) < rank(b); });
-    std::vector<host_id> hosts;
-    hosts.reserve(ordered.size());
-    for (const host_placement& placement : ordered) {
-        hosts.push_back(placement.host);
-    }
-    return hosts;
+    });
+}
+
+std::vector<host_id> order_gateways_for_account(const group_id& group, const account_id& account,
+                                                std::span<const host_placement> gateways,
+                                                const data_centre_id& data_centre) {
+    const std::string request_key = group.str() + "/" + account.str();
+    return order_by(gateways, [&](const host_placement& placement) {
+        return std::tuple{placement.data_centre != data_centre,
+                          weight(request_key, placement.host.str()), placement.host};
+    });
 }
 
 }  // namespace jasminelead
--- a/src/reason.cc
+++ b/src/reason.cc
@@ -42,6 +42,7 @@
     "peer_unreachable",
     "unconfirmed",
     "stale_answer",
+    "key_removed",
     "invariant_broken",
 };
 
--- a/support/session_endpoint.cc
+++ b/support/session_endpoint.cc
@@ -61,8 +61,17 @@
     m_delay = delay;
 }
 
+void session_endpoint::delay_all(std::string verb, std::chrono::milliseconds delay) {
+    const std::lock_guard lock{m_fault_lock};
+    m_slow_verb = std::move(verb);
+    m_slow_delay = delay;
+}
+
 std::chrono::milliseconds session_endpoint::take_delay(const std::string& verb) {
     const std::lock_guard lock{m_fault_lock};
+    if (verb == m_slow_verb) {
+        return m_slow_delay;
+    }
     if (verb != m_delayed_verb) {
         return {};
     }
@@ -154,9 +163,10 @@
     const std::string verb = take_word(line);
     if (verb == "STARTUP") {
         const std::string group = take_word(line);
-        take_word(line);  // Who connects.
+        client_session.name = take_word(line);
         const std::string id = take_word(line);
         const std::lock_guard lock{m_group->lock};
+        m_group->startups.push_back(m_id + " " + client_session.name);
         const bool expected = group == m_group_name && (id.empty() || id == m_id);
         return expected ? "READY I " + point() + "\r\n" : "ERROR WRONGNODE " + m_id + "\r\n";
     }
@@ -185,6 +195,7 @@
     std::this_thread::sleep_for(take_delay(verb));
     const std::lock_guard lock{m_group->lock};
     m_group->log.push_back(m_id + " " + id + " " + std::string{text});
+    m_group->runs.push_back(client_session.name + " " + std::string{text});
     const std::string name = take_word(words);
     const std::string rest{words};
     std::string reply;
--- a/support/session_endpoint.h
+++ b/support/session_endpoint.h
@@ -27,6 +27,8 @@
     std::string primary;
     int unpromoted_commits = 0;    ///< At endpoints other than the primary.
     std::vector<std::string> log;  ///< Endpoint, statement id and text of each query that was run.
+    std::vector<std::string> startups;  ///< Endpoint and the name of who connected.
+    std::vector<std::string> runs;      ///< Name of who connected, and text of each query.
 };
 
 class session_endpoint {
@@ -48,6 +50,8 @@
     void refuse_next(std::string verb, std::string code);
     /// Waits before it runs the next statement with this verb.
     void delay_next(std::string verb, std::chrono::milliseconds delay);
+    /// Waits before it runs each statement with this verb.
+    void delay_all(std::string verb, std::chrono::milliseconds delay);
     /// While busy, it has no free slot for STATUS.
     void set_busy(bool is_busy) { m_is_busy = is_busy; }
     /// Behaves like a primary of this term that does not know its successor: it reports the role
@@ -66,6 +70,7 @@
         std::map<std::string, std::string> prepared;
         std::map<std::string, std::string> values;
         char state = 'I';
+        std::string name;  ///< Of who connected.
     };
     struct connection {
         explicit connection(boost::asio::ip::tcp::socket opened) : socket{std::move(opened)} {}
@@ -99,6 +104,8 @@
     std::string m_refused_code;
     std::string m_delayed_verb;
     std::chrono::milliseconds m_delay{0};
+    std::string m_slow_verb;
+    std::chrono::milliseconds m_slow_delay{0};
     boost::asio::io_context m_io;
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::list<connection> m_connections;
--- a/test/admission_test.cc
+++ b/test/admission_test.cc
@@ -138,3 +138,23 @@
     CHECK_FALSE(queue.remove(entries, 2));
     CHECK(queue.size() == 2);
 }
+
+// Guards against statements of all accounts that wait because the most urgent one has no
+// connection.
+TEST_CASE("accounts without a connection are passed over, in order of their deadlines") {
+    admission queue;
+    const account_id agents{"agents"};
+    const account_id banks{"banks"};
+    queue.push({1, entries, 1, start + 1_s, false, agents}, slots, start);
+    queue.push({2, entries, 1, start + 2_s, false, banks}, slots, start);
+    queue.push({3, fees, 1, start + 3_s, false, agents}, slots, start);
+    const auto demands = queue.waiting_accounts();
+    REQUIRE(demands.size() == 2);
+    CHECK(demands.front().account == agents);
+    CHECK(demands.front().waiting == 2);
+    CHECK(demands.back().account == banks);
+    const auto only_banks = [&](const account_id& account) { return account == banks; };
+    CHECK(queue.pop_for_account(only_banks)->number == 2);
+    CHECK_FALSE(queue.pop_for_account(only_banks));
+    CHECK(queue.size() == 2);
+}
--- a/test/connection_share_test.cc
+++ b/test/connection_share_test.cc
@@ -65,3 +65,18 @@
         }
     }
 }
+
+// Guards against replicas whose connections are kept by hosts that rarely use them.
+TEST_CASE("connections of accounts are shared by weight and leave a quarter of the limit") {
+    connection_share local;
+    local.set_weighted_limit(56, 3, 10);
+    CHECK(local.share() == 12);
+    connection_share remote;
+    remote.set_weighted_limit(56, 1, 10);
+    CHECK(remote.share() == 4);
+    CHECK(2 * local.share() + 4 * remote.share() <= 56 * 3 / 4);
+    remote.set_weighted_limit(56, 0, 10);
+    CHECK(remote.share() == 0);
+    remote.set_weighted_limit(2, 1, 60);
+    CHECK(remote.share() == 1);
+}
--- a/test/gateway_messages_test.cc
+++ b/test/gateway_messages_test.cc
@@ -25,6 +25,7 @@
     request.statement.arrived = now - 30_ms;
     request.may_decline = true;
     request.session.values["lang"] = "es";
+    request.session.caller = {{account_id{"agents"}, 0xfedcba9876543210}, 41};
     record_write(request.session, group_id{"shows"}, {log_point{3, 120}, 9});
     return request;
 }
@@ -48,6 +49,8 @@
     CHECK(received->statement.arguments == "a b");
     CHECK(received->may_decline);
     CHECK(received->session.values == sent.session.values);
+    CHECK(received->session.caller.identity == sent.session.caller.identity);
+    CHECK(received->session.caller.version == 41);
     const session_writes written = last_write(received->session, group_id{"shows"});
     CHECK(written.point == log_point{3, 120});
     CHECK(written.leadership == 9);
--- a/test/gateway_test.cc
+++ b/test/gateway_test.cc
@@ -99,3 +99,27 @@
         CHECK(count < askers * 2 / 3);
     }
 }
+
+// Guards against accounts whose connections are spread over all gateways, so that each gateway
+// opens and closes them over and over.
+TEST_CASE("all hosts of a data centre try the same gateway first for an account") {
+    const auto hosts = fleet(69, 3);
+    const auto gateways = choose_gateways(shows, hosts, {34, 3});
+    std::map<data_centre_id, std::set<host_id>> first;
+    for (int i = 0; i < 40; ++i) {
+        const account_id account{"account-" + std::to_string(i)};
+        for (int place = 0; place < 3; ++place) {
+            const data_centre_id data_centre{"dc-" + std::to_string(place)};
+            const auto order = order_gateways_for_account(shows, account, gateways, data_centre);
+            REQUIRE(order.size() == gateways.size());
+            first[data_centre].insert(order.front());
+            const auto chosen =
+                std::find_if(gateways.begin(), gateways.end(),
+                             [&](const auto& item) { return item.host == order.front(); });
+            CHECK(chosen->data_centre == data_centre);
+        }
+    }
+    for (const auto& [data_centre, hosts_used] : first) {
+        CHECK(hosts_used.size() == 2);
+    }
+}
--- a/test/proxy_settings_test.cc
+++ b/test/proxy_settings_test.cc
@@ -53,3 +53,20 @@
     CHECK(std::holds_alternative<settings_errors>(parse_settings("- 1")));
     CHECK(std::holds_alternative<settings_errors>(parse_settings("a: [")));
 }
+
+// Guards against a template that renders empty values where a deployment has no accounts.
+TEST_CASE("settings of keys may be absent or empty") {
+    for (const char* text : {"", "fail_closed:\nkey_revocation_limit_ms:\n"}) {
+        const auto result = parse_settings(complete + text);
+        REQUIRE(std::holds_alternative<settings>(result));
+        CHECK_FALSE(std::get<settings>(result).trust.fail_closed);
+        CHECK(std::get<settings>(result).trust.revocation_limit == 5_s);
+    }
+    const auto closed =
+        parse_settings(complete + "fail_closed: true\nkey_revocation_limit_ms: 800\n");
+    REQUIRE(std::holds_alternative<settings>(closed));
+    CHECK(std::get<settings>(closed).trust.fail_closed);
+    CHECK(std::get<settings>(closed).trust.revocation_limit == 800_ms);
+    CHECK(
+        std::holds_alternative<settings_errors>(parse_settings(complete + "fail_closed: soon\n")));
+}
--- a/test/record_mirror_test.cc
+++ b/test/record_mirror_test.cc
@@ -23,7 +23,7 @@
 struct mirror_fixture {
     daemon::worker home;
     daemon::metrics counters;
-    fleet_state fleet{home, {host_id{"h1"}, data_centre_id{"dc"}, 0.25}};
+    fleet_state fleet{home, {host_id{"h1"}, data_centre_id{"dc"}, 0.25}, counters};
     record_mirror mirror{fleet, counters};
 
     bool lists(const std::string& id) { return fleet.pool(endpoint_id{id}) != nullptr; }
--- a/test/records_test.cc
+++ b/test/records_test.cc
@@ -81,3 +81,58 @@
     });
     CHECK(holds);
 }
+
+namespace {
+
+const std::string accounts_text =
+    R"("tenants":[{"name":"miny","apiKeys":["key-one","key-two"],"priority":1,"ratePerS":353,
+       "burst":353},{"name":"lopa","apiKeys":[]}],)";
+
+std::string config_with_accounts() {
+    return replaced(config_text, R"("services")", accounts_text + R"("services")");
+}
+
+}  // namespace
+
+TEST_CASE("accounts and public routes of a configuration are decoded") {
+    const auto config = decode_config(
+        replaced(config_with_accounts(), R"("name":"r-2")", R"("public":true,"name":"r-2")"));
+    REQUIRE(config);
+    CHECK(config->accounts.size() == 2);
+    CHECK(config->find("lepu")->is_public);
+    CHECK_FALSE(config->find("fiti")->is_public);
+    const auto caller = config->authenticate(*config->find("fiti"), key_digest::of("key-two"));
+    REQUIRE(caller);
+    CHECK(caller->account == account_id{"miny"});
+    CHECK(decode_config(config_text)->accounts.empty());
+}
+
+TEST_CASE("an account without a name, or with a key that is no text, is rejected") {
+    for (const char* accounts :
+         {R"("tenants":[{"apiKeys":[]}],)", R"("tenants":[{"name":"a","apiKeys":[7]}],)",
+          R"("tenants":[{"name":"a b"}],)", R"("tenants":{},)",
+          R"("tenants":[{"name":"a","keyDigests":["x"]}],)"}) {
+        CAPTURE(accounts);
+        CHECK_FALSE(decode_config(
+            replaced(config_text, R"("services")", accounts + std::string{R"("services")"})));
+    }
+}
+
+// Guards against keys in the records that hosts keep and send to each other.
+TEST_CASE("redacted configurations authenticate the same callers and contain no key") {
+    const std::string redacted = redact_keys(config_with_accounts());
+    CHECK(redacted.find("key-one") == std::string::npos);
+    CHECK(redacted.find("key-two") == std::string::npos);
+    const auto config = decode_config(redacted);
+    REQUIRE(config);
+    CHECK(config->version == 7);
+    const auto caller = config->authenticate(*config->find("fiti"), key_digest::of("key-one"));
+    REQUIRE(caller);
+    CHECK(caller->account == account_id{"miny"});
+    CHECK(redact_keys(redacted) == redacted);
+    CHECK(redact_keys(config_text) == config_text);
+    CHECK(redact_keys(R"({"tenants":[{"apiKeys":["key-one"]}],)").empty());
+    const std::string escaped =
+        redact_keys(R"({"tenants":[{"name":"a","api\u004beys":["key-one"]}]})");
+    CHECK(escaped.find("key-one") == std::string::npos);
+}
--- a/test/session_fleet.h
+++ b/test/session_fleet.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <poll.h>
+
 #include <algorithm>
 #include <array>
 #include <atomic>
@@ -59,14 +61,20 @@
 /// A client connection. Answers are read up to their READY line; lines are joined with "|".
 class caller {
 public:
-    caller(std::uint16_t port, const std::string& database) : m_socket{m_io} {
+    caller(std::uint16_t port, const std::string& database, const std::string& key = "u1")
+        : m_socket{m_io} {
         m_socket.connect({boost::asio::ip::address_v4::loopback(), port});
-        m_first = exchange("STARTUP " + database + " u1");
+        m_first = exchange("STARTUP " + database + " " + key);
     }
     std::string query(const std::string& text) {
         return exchange("QUERY q" + std::to_string(++m_number) + " " + text);
     }
     [[nodiscard]] const std::string& first() const { return m_first; }
+    /// True if the daemon closes the connection within 5 s and sends nothing before.
+    bool is_closed_unasked() {
+        pollfd input{m_socket.native_handle(), POLLIN, 0};
+        return ::poll(&input, 1, 5000) == 1 && !support::read_line(m_socket, m_buffer);
+    }
 
 private:
     std::string exchange(const std::string& line) {
@@ -93,8 +101,9 @@
 public:
     /// `entries` are in the store before the hosts start.
     explicit fleet(int hosts = 1, int max_connections = 8, duration stop_grace = 400_ms,
-                   const std::map<std::string, std::string>& entries = {})
-        : m_stop_grace{stop_grace} {
+                   const std::map<std::string, std::string>& entries = {},
+                   const key_trust& trust = {})
+        : m_stop_grace{stop_grace}, m_trust{trust} {
         for (const auto& [key, value] : entries) {
             m_platform.put(key, value);
         }
@@ -180,6 +189,15 @@
         const std::lock_guard lock{m_group->lock};
         return m_group->log;
     }
+    /// Name of who connected, and text of each query that any endpoint ran.
+    std::vector<std::string> named_runs() {
+        const std::lock_guard lock{m_group->lock};
+        return m_group->runs;
+    }
+    std::vector<std::string> startups() {
+        const std::lock_guard lock{m_group->lock};
+        return m_group->startups;
+    }
     /// Number of queries with this text that any endpoint ran.
     std::size_t runs(const std::string& text) {
         std::size_t count = 0;
@@ -225,6 +243,7 @@
         options.store = m_platform.address();
         options.promotion = m_platform.address();
         options.stop_grace = m_stop_grace;
+        options.trust = m_trust;
         m_daemons.push_back(std::make_unique<proxy::session_daemon>(options));
         REQUIRE_FALSE(m_daemons.back()->start());
     }
@@ -241,6 +260,7 @@
     }
 
     duration m_stop_grace;
+    key_trust m_trust;
     std::shared_ptr<session_group_state> m_group = std::make_shared<session_group_state>();
     std::vector<std::unique_ptr<session_endpoint>> m_endpoints;
     std::atomic<std::chrono::milliseconds> m_promotion_delay{};
--- a/test/statement_router_test.cc
+++ b/test/statement_router_test.cc
@@ -101,7 +101,7 @@
     session_endpoint second{group, shows.str(), new_primary.str()};
     daemon::worker home;
     daemon::metrics counters;
-    fleet_state fleet{home, {host_id{"h1"}, data_centre_id{"dc"}, 1}};
+    fleet_state fleet{home, {host_id{"h1"}, data_centre_id{"dc"}, 1}, counters};
     record_mirror mirror{fleet, counters};
     mark_exchange marks{fleet, mirror, counters};
     statement_router router{fleet, marks, counters};
--- a/test/wire_test.cc
+++ b/test/wire_test.cc
@@ -164,3 +164,14 @@
     });
     CHECK(holds);
 }
+
+// Guards against endpoints that receive a caller's key (rule UNASKED).
+TEST_CASE("the key of a caller is separate from the name that endpoints receive") {
+    const auto request = as<startup_request>(decode_request("STARTUP lepu270 3is47qdq"));
+    CHECK(request.key == "3is47qdq");
+    CHECK(as<startup_request>(decode_request("STARTUP lepu270")).key.empty());
+    std::string out;
+    encode_startup(out, group_id{"huvo"}, account_id{"miny"}, endpoint_id{"i-7"});
+    encode_startup(out, group_id{"huvo"}, account_id{}, endpoint_id{"i-7"});
+    CHECK(out == "STARTUP huvo miny i-7\r\nSTARTUP huvo jasminelead i-7\r\n");
+}
