Judge accounts and removed keys in the soak

Change: the profile 'accounts' replaces keys of accounts while hosts fail and the store refuses some of them. The judge reports a statement that runs in the name of another account, and one that runs after its key was removed. Other profiles have no accounts, as before.

--- a/soak/client.cc
+++ b/soak/client.cc
@@ -96,9 +96,9 @@
     return found == probes().texts.end() ? "" : found->second;
 }
 
-client::client(std::uint16_t port, const std::string& database)
+client::client(std::uint16_t port, const std::string& database, const std::string& key)
     : m_fd{connect_to(port)}, m_in{m_fd} {
-    m_first = exchange("STARTUP " + database + " user1\r\n", startup_timeout_ms);
+    m_first = exchange("STARTUP " + database + " " + key + "\r\n", startup_timeout_ms);
 }
 
 client::~client() {
--- a/soak/client.h
+++ b/soak/client.h
@@ -34,7 +34,7 @@
 /// One session.
 class client {
 public:
-    client(std::uint16_t port, const std::string& database);
+    client(std::uint16_t port, const std::string& database, const std::string& key = "user1");
     client(const client&) = delete;
     client& operator=(const client&) = delete;
     ~client();
--- a/soak/deployment.cc
+++ b/soak/deployment.cc
@@ -126,8 +126,38 @@
     return nullptr;
 }
 
+void deployment::replace_key(std::size_t chosen) {
+    std::string old_key;
+    {
+        const std::lock_guard lock{m_config_lock};
+        if (m_accounts.empty()) {
+            return;
+        }
+        account& changed = m_accounts[chosen % m_accounts.size()];
+        old_key = changed.key();
+        ++changed.key_number;
+        note("key of " + changed.name + " replaced");
+    }
+    put_config();
+    const std::lock_guard lock{m_config_lock};
+    m_removed_keys.push_back({old_key, now_ms()});
+}
+
+account deployment::account_of(std::size_t client_number) {
+    const std::lock_guard lock{m_config_lock};
+    return m_accounts.empty() ? account{} : m_accounts[client_number % m_accounts.size()];
+}
+
+std::vector<removed_key> deployment::removed_keys() {
+    const std::lock_guard lock{m_config_lock};
+    return m_removed_keys;
+}
+
 void deployment::put_config(std::uint32_t variation) {
     const std::lock_guard lock{m_config_lock};
+    while (m_accounts.size() < account_count) {
+        m_accounts.push_back({"account" + std::to_string(m_accounts.size())});
+    }
     json::array rows;
     for (route item : routes) {
         item.timeout_ms += static_cast<int>(variation % timeout_variations) * timeout_step_ms;
@@ -146,10 +176,19 @@
     }
     m_version += 1;
     note("config version " + std::to_string(m_version));
-    keys.put("op/config", json::serialize(json::object{{"version", m_version},
-                                                       {"routes", std::move(rows)},
-                                                       {"services", std::move(groups)},
-                                                       {"limits", limits}}));
+    json::object config{{"version", m_version},
+                        {"routes", std::move(rows)},
+                        {"services", std::move(groups)},
+                        {"limits", limits}};
+    if (!m_accounts.empty()) {
+        json::array accounts;
+        for (const account& item : m_accounts) {
+            accounts.push_back(
+                {{"name", item.name}, {"apiKeys", json::array{json::string{item.key()}}}});
+        }
+        config["tenants"] = std::move(accounts);
+    }
+    keys.put("op/config", json::serialize(config));
 }
 
 void deployment::add_daemon(const std::string& zone) {
@@ -316,7 +355,7 @@
             bool served = false;
             while (!served && now_ms() < deadline) {
                 if (is_ready(item)) {
-                    client probe{item.front, used.database};
+                    client probe{item.front, used.database, account_of(0).key()};
                     served = probe.is_started() && probe.query("READ seed").ok();
                 }
                 if (!served) {
--- a/soak/deployment.h
+++ b/soak/deployment.h
@@ -47,6 +47,21 @@
     int max_stale_ms = 0;
 };
 
+/// A client account with one key at a time.
+struct account {
+    std::string name;
+    int key_number = 1;
+    [[nodiscard]] std::string key() const {
+        return "key-" + name + "-" + std::to_string(key_number);
+    }
+};
+
+/// A key that the operator took away.
+struct removed_key {
+    std::string key;
+    double at = 0;  ///< When the store had acknowledged it.
+};
+
 class deployment {
 public:
     /// Settings and logs are kept in `folder`; `program` is the daemon.
@@ -61,6 +76,7 @@
     std::vector<std::unique_ptr<service>> services;
     std::deque<daemon_process> daemons;
     std::vector<route> routes;
+    std::size_t account_count = 0;  ///< Without accounts, no client needs a key.
     host_links links;
 
     service& add_service(const std::string& name, const std::vector<std::string>& zones,
@@ -70,6 +86,11 @@
     /// The operator writes a configuration with the present routes. A variation other than 0
     /// changes their timeouts and adds or removes a route that no client uses.
     void put_config(std::uint32_t variation = 0);
+    /// The operator replaces the key of one account.
+    void replace_key(std::size_t chosen);
+    /// The account, with its present key, that a client uses; without a name if there are none.
+    account account_of(std::size_t client_number);
+    std::vector<removed_key> removed_keys();
     void add_daemon(const std::string& zone);
     /// Starts the daemons as the deploy file says, with the settings of its template.
     void start_all();
@@ -95,6 +116,8 @@
     std::string m_folder;
     std::string m_program;
     std::mutex m_config_lock;
+    std::vector<account> m_accounts;
+    std::vector<removed_key> m_removed_keys;
     int m_version = 6;
 };
 
--- a/soak/fault_player.cc
+++ b/soak/fault_player.cc
@@ -82,7 +82,7 @@
          std::to_string(fault.value) + ", instance " + at.item->id() + ", host " + at.host->host);
     if (fault.kind <= list_late) {
         play_platform(fault, at);
-    } else if (fault.kind <= config_change) {
+    } else if (fault.kind <= key_removed) {
         play_store(fault, at);
     } else if (fault.kind <= answers_lost) {
         play_instance(fault, at);
@@ -171,6 +171,8 @@
             return m_all.keys.forget_history();
         default:
             return m_all.put_config(fault.target);
+        case key_removed:
+            return m_all.replace_key(fault.target);
     }
 }
 
--- a/soak/instance.h
+++ b/soak/instance.h
@@ -76,7 +76,8 @@
         std::map<std::string, std::string> values;
         std::map<std::string, std::pair<std::string, std::string>> prepared;
         std::string host;
-        int life = 0;  ///< Of the instance when the connection was opened.
+        std::string account;  ///< Name of who connected.
+        int life = 0;         ///< Of the instance when the connection was opened.
         char state = 'I';
         bool read_only = false;
         std::uint64_t term = 0;
@@ -108,7 +109,7 @@
     bool is_answer_lost();
     [[nodiscard]] bool is_over(const session& open) const { return m_life != open.life; }
     std::optional<std::string> answer(session& open, const std::string& line, bool& started);
-    std::optional<std::string> start(const std::string& line, bool& started);
+    std::optional<std::string> start(session& open, const std::string& line, bool& started);
     [[nodiscard]] std::string ready(const session& open) const;
     std::string signature();
     std::string done(const session& open, const std::string& rows = "");
--- a/soak/instance_statements.cc
+++ b/soak/instance_statements.cc
@@ -72,7 +72,7 @@
 /// The answer to one line; empty when the connection ends, also when the answer is lost.
 std::optional<std::string> instance::answer(session& open, const std::string& line, bool& started) {
     if (!started) {
-        return start(line, started);
+        return start(open, line, started);
     }
     auto text = handle(open, line);
     if (text && is_answer_lost()) {
@@ -82,13 +82,14 @@
     return text;
 }
 
-std::optional<std::string> instance::start(const std::string& line, bool& started) {
+std::optional<std::string> instance::start(session& open, const std::string& line, bool& started) {
     std::istringstream words{line};
     std::string verb;
     std::string name;
     std::string who;
     std::string expected;
     words >> verb >> name >> who >> expected;
+    open.account = who;
     const bool ok =
         verb == "STARTUP" && name == m_service.name && (expected.empty() || expected == m_id);
     if (!ok) {
@@ -294,7 +295,8 @@
     const std::string rows = item.verb == "READ" ? read_item(item.rest) : "";
     note("run " + m_id + " " + item.id + " " + shown(item.text) + " log " + point().text());
     const std::size_t index = m_service.runs.size();
-    m_service.runs.push_back({now_ms(), m_id, open.host, item.id, item.text, point(), "", rows});
+    m_service.runs.push_back(
+        {now_ms(), m_id, open.host, item.id, item.text, point(), "", rows, open.account});
     lock.unlock();
     sleep_ms(work_ms);
     lock.lock();
--- a/soak/judge.cc
+++ b/soak/judge.cc
@@ -17,6 +17,8 @@
 // A quarter of the requests has to be served.
 constexpr int recovery_tries = 4;
 constexpr double recovery_pause_ms = 300;
+// From the removal of a key to the end of its use, by hosts that were not disturbed.
+constexpr double revocation_ms = 5000;
 // The longest deadline of the users' clients that write.
 constexpr double recovery_timeout_ms = 1500;
 
@@ -350,9 +352,48 @@
     }
 }
 
-bool is_served(const daemon_process& daemon, const route& used, const std::string& text) {
+/// UNASKED: a statement runs in the name of another account than its client's. CONFIG: one runs
+/// whose client's key was taken away before it was sent.
+void check_accounts(const observation& seen, const sent_statements& sent,
+                    std::vector<violation>& found) {
+    std::map<std::string, double> removed;
+    for (const removed_key& item : seen.all.removed_keys()) {
+        removed[item.key] = item.at;
+    }
+    for (const auto& group : seen.all.services) {
+        const std::lock_guard lock{group->lock};
+        for (const run_event& item : group->runs) {
+            const auto sender = sent.find(item.id);
+            if (sender == sent.end() || sender->second.attempt->account.empty()) {
+                continue;
+            }
+            const attempt_record& attempt = *sender->second.attempt;
+            if (attempt.account != item.account) {
+                found.push_back({"UNASKED",
+                                 group->name + ": statement " + item.id + " of " + attempt.account +
+                                     " ran in the name of " + item.account,
+                                 group->name, item.id, item.at});
+            }
+            const auto taken = removed.find(attempt.key);
+            const double sent_at = sender->second.statement->sent;
+            if (taken == removed.end() || sent_at < taken->second + revocation_ms) {
+                continue;
+            }
+            if (!seen.disturbances.covers(attempt.host, "", taken->second, sent_at)) {
+                found.push_back({"CONFIG",
+                                 group->name + ": statement " + item.id + " ran " +
+                                     at_text(sent_at - taken->second) +
+                                     " after its key was removed",
+                                 group->name, item.id, item.at});
+            }
+        }
+    }
+}
+
+bool is_served(deployment& all, const daemon_process& daemon, const route& used,
+               const std::string& text) {
     for (int tries = 0; tries < recovery_tries; ++tries) {
-        client probe{daemon.front, used.database};
+        client probe{daemon.front, used.database, all.account_of(0).key()};
         if (probe.is_started() && probe.query(text, recovery_timeout_ms).ok()) {
             return true;
         }
@@ -387,6 +428,7 @@
         std::move(part.begin(), part.end(), std::back_inserter(found));
     }
     check_unsigned(seen, found);
+    check_accounts(seen, sent, found);
     return found;
 }
 
@@ -394,11 +436,11 @@
     std::vector<violation> found;
     for (const daemon_process& daemon : all.daemons) {
         for (const route& used : all.routes) {
-            if (!is_served(daemon, used, "READ seed")) {
+            if (!is_served(all, daemon, used, "READ seed")) {
                 found.push_back(
                     {"RECOVER", "no read of " + used.database + " by " + daemon.host, "", "", 0});
             }
-            if (used.type != "bounded_stale" && !is_served(daemon, used, "WRITE seed 1")) {
+            if (used.type != "bounded_stale" && !is_served(all, daemon, used, "WRITE seed 1")) {
                 found.push_back(
                     {"RECOVER", "no write of " + used.database + " by " + daemon.host, "", "", 0});
             }
--- a/soak/service.h
+++ b/soak/service.h
@@ -41,6 +41,7 @@
     log_point log_end;      ///< Of what the statement saw.
     std::string signature;  ///< Empty when it had no success.
     std::string rows;
+    std::string account;  ///< Name of who opened the connection.
 };
 
 /// A commit that wrote, as the primary made it.
--- a/soak/soak_plan.cc
+++ b/soak/soak_plan.cc
@@ -14,7 +14,7 @@
 // The first faults begin after this time.
 constexpr double first_fault_ms = 500;
 
-constexpr std::array<std::pair<fault_kind, std::string_view>, 36> names{{
+constexpr std::array<std::pair<fault_kind, std::string_view>, 37> names{{
     {promotion_answers_late, "promotion_answers_late"},
     {promotion_effects_late, "promotion_effects_late"},
     {promotion_unanswered, "promotion_unanswered"},
@@ -28,6 +28,7 @@
     {store_calls_late, "store_calls_late"},
     {store_forgets, "store_forgets"},
     {config_change, "config_change"},
+    {key_removed, "key_removed"},
     {drain, "drain"},
     {drain_called_off, "drain_called_off"},
     {crash, "crash"},
@@ -106,6 +107,29 @@
     return result;
 }
 
+// Keys are replaced while hosts fail, and while the store refuses some of them.
+soak_profile account_faults() {
+    soak_profile result;
+    result.name = "accounts";
+    result.services = 2;
+    result.accounts = 9;
+    result.rates = {
+        {key_removed, 2500, 1, 1},
+        {config_change, 10000, 1, 1},
+        {store_refuses_host, 5000, 3000, 8000},
+        {store_forgets, 15000, 1, 1},
+        {crash, 15000, 800, 6000, 0, 0, any},
+        {slow, 10000, 500, 3000, 100, 400, any},
+        {answers_lost, 10000, 500, 3000, 0.01, 0.2, any},
+        {link_reset, 5000, 1, 1},
+        {host_kill, 8000, 300, 2500},
+        {host_freeze, 8000, 200, 3000},
+        {hosts_killed, 20000, 300, 2000, 0.3, 1},
+        {burst, 8000, 1000, 4000, 10, 30},
+    };
+    return result;
+}
+
 soak_profile mixed_faults() {
     soak_profile result;
     result.name = "mixed";
@@ -165,7 +189,7 @@
 
 const std::vector<soak_profile>& soak_profiles() {
     static const std::vector<soak_profile> profiles{mixed_faults(), replacement_faults(),
-                                                    store_faults()};
+                                                    store_faults(), account_faults()};
     return profiles;
 }
 
--- a/soak/soak_plan.h
+++ b/soak/soak_plan.h
@@ -25,6 +25,7 @@
     store_calls_late,    ///< Value: share of the calls.
     store_forgets,
     config_change,
+    key_removed,  ///< The key of one account is replaced by another one.
     // Of instances.
     drain,             ///< The instance ends and a new one takes its place.
     drain_called_off,  ///< It reports that it is draining for the length.
@@ -73,6 +74,7 @@
     std::string name;
     std::size_t services = 1;
     bool synchronous = false;  ///< For the last service.
+    std::size_t accounts = 0;  ///< Without accounts, no client needs a key.
     double work_ms = 12;
     std::size_t queue = 1;
     load_settings load;
--- a/soak/workload.cc
+++ b/soak/workload.cc
@@ -85,6 +85,7 @@
     random_source random{m_seed * 1000003U + static_cast<unsigned>(number)};
     const route& used = m_all.routes[number % m_all.routes.size()];
     session_state session;
+    session.client_number = number;
     while (m_running && now_ms() < end) {
         if (session.link == nullptr && !open(session, used, random)) {
             sleep_ms(reopen_pause_ms);
@@ -101,7 +102,8 @@
 /// Opens a session at any daemon; one that cannot be reached is left out next time by chance.
 bool workload::open(session_state& session, const route& used, random_source& random) {
     const daemon_process& daemon = m_all.daemons[random() % m_all.daemons.size()];
-    session.link = std::make_unique<client>(daemon.front, used.database);
+    session.owner = m_all.account_of(session.client_number);
+    session.link = std::make_unique<client>(daemon.front, used.database, session.owner.key());
     session.host = daemon.host;
     session.number = ++m_sessions;
     session.prepared_read.clear();
@@ -186,6 +188,8 @@
     attempt_record attempt;
     attempt.session = session.number;
     attempt.host = session.host;
+    attempt.account = session.owner.name;
+    attempt.key = session.owner.key();
     attempt.route_type = used.type;
     attempt.max_stale_ms = used.max_stale_ms;
     answer last;
--- a/soak/workload.h
+++ b/soak/workload.h
@@ -37,6 +37,8 @@
 struct attempt_record {
     std::uint64_t session = 0;
     std::string host;
+    std::string account;  ///< Empty without accounts.
+    std::string key;
     std::string route_type;
     int max_stale_ms = 0;
     attempt_outcome outcome = attempt_outcome::unknown;
@@ -72,6 +74,8 @@
         std::unique_ptr<client> link;
         std::uint64_t number = 0;
         std::string host;
+        std::size_t client_number = 0;
+        account owner;  ///< The client's account, with the key that it presented.
         std::string prepared_read;
         std::string prepared_write;
     };
