Spread reads by random choices where the settings ask for it

Cause: hosts choose the endpoint of a read by the lowest cost, which rests on answers that are old and alike for all of them, so that they choose the same one until its slowness is known. Change: with read_balance: random_choices a host takes an endpoint that it does not use yet, or the cheaper of two drawn at random. Ruled out, by the model of the test: loads reported by other hosts, which at an age of 50 ms make queues less even than no report.

--- a/include/jasminelead/read_selector.h
+++ b/include/jasminelead/read_selector.h
@@ -3,6 +3,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <random>
 #include <span>
 
 #include "jasminelead/log_point.h"
@@ -38,4 +39,22 @@
 std::optional<std::size_t> choose_read_endpoint(std::span<const read_candidate> candidates,
                                                 const read_constraint& need);
 
+/// How a host chooses among endpoints that can all answer a read.
+enum class read_balance {
+    lowest_cost,
+    random_choices,  ///< See `choose_balanced_read_endpoint`.
+};
+
+using random_source = std::minstd_rand;
+
+/// The cheaper one of two endpoints drawn at random; the cheapest one of all while this host has no
+/// statement there.
+///
+/// Load pattern: several hosts send reads to the same endpoints, and each knows only its own
+/// statements there and how long the last ones took. Hosts that all take the lowest cost send to
+/// the same endpoint at the same time, so that endpoints are overrun in turns while others idle.
+std::optional<std::size_t> choose_balanced_read_endpoint(std::span<const read_candidate> candidates,
+                                                         const read_constraint& need,
+                                                         random_source& random);
+
 }  // namespace jasminelead
--- a/proxy/session_daemon.cc
+++ b/proxy/session_daemon.cc
@@ -73,6 +73,9 @@
             return fault;
         }
     }
+    m_fleet.trust = m_settings.trust;
+    m_router.set_read_balance(m_settings.balance);
+    m_fleet.config_age = [this](instant now) { return m_sync.confirmed_age(now); };
     m_home.post([this] {
         m_sync.start();
         m_peers.start();
@@ -84,10 +87,10 @@
         m_gateway_server.start();
         m_listener.start();
         m_home.spawn([this] { run_log_flush(); });
+        m_home.spawn([this] { run_key_check(); });
         m_home.spawn([this] { run_isolation_check(); });
     });
     return std::nullopt;
-        m_home.spawn([this] { run_key_check(); });
 }
 
 void session_daemon::serve(daemon::tcp::socket socket) {
@@ -179,9 +182,6 @@
     }
 }
 
-void session_daemon::run_isolation_check() {
-    while (!m_stopping) {
-        const instant now = boot_now();
 /// Ends the sessions of removed keys when a configuration arrives.
 void session_daemon::run_key_check() {
     revision_number checked = 0;
@@ -197,6 +197,9 @@
     }
 }
 
+void session_daemon::run_isolation_check() {
+    while (!m_stopping) {
+        const instant now = boot_now();
         m_router.set_unconfirmed(m_peers.is_unconfirmed(now) || m_peers.is_isolated(now));
         if (should_close_sessions(now)) {
             close_idle_sessions(session_end::cut_off);
@@ -219,6 +222,9 @@
         m_settings.seeds = loaded.seeds;
         m_settings.stop_grace = loaded.stop_grace;
         m_settings.log_level = loaded.log_level;
+        m_settings.trust = loaded.trust;
+        m_fleet.trust = loaded.trust;
+        m_router.set_read_balance(loaded.balance);
         m_sync.store().set_address(loaded.store);
         m_failover.set_promotion_address(loaded.promotion);
         m_peers.set_seeds(loaded.seeds);
--- a/proxy/settings.cc
+++ b/proxy/settings.cc
@@ -80,6 +80,13 @@
         }
         return values;
     }
+    read_balance balance(const char* name) {
+        const std::string value = text_or(name, "lowest_cost");
+        if (value != "lowest_cost" && value != "random_choices") {
+            m_errors.push_back(std::string{name} + ": must be lowest_cost or random_choices");
+        }
+        return value == "random_choices" ? read_balance::random_choices : read_balance::lowest_cost;
+    }
     settings_errors finish() {
         for (const auto& member : m_document) {
             const std::string name = member.first.Scalar();
@@ -105,6 +112,7 @@
     constexpr double max_cores = 1024;
     constexpr double max_port = 65535;
     constexpr double max_stop_grace_ms = 600'000;
+    constexpr double max_revocation_limit_ms = 600'000;
     settings result;
     result.host = host_id{members.text("host")};
     result.data_centre = data_centre_id{members.text("data_centre")};
@@ -112,7 +120,6 @@
     result.listen = members.address("listen");
     result.readiness = members.address("readiness");
     result.address = members.text("address");
-    constexpr double max_revocation_limit_ms = 600'000;
     result.metrics_port =
         static_cast<std::uint16_t>(members.number_or("metrics_port", 0, 0, max_port));
     result.peer = members.address("peer");
@@ -122,6 +129,11 @@
     result.promotion = members.text_or("promotion", "");
     result.stop_grace = duration::from_ms(
         members.number_or("stop_grace_ms", result.stop_grace.ms(), 100, max_stop_grace_ms));
+    result.trust.fail_closed = members.flag_or("fail_closed", false);
+    result.trust.revocation_limit = duration::from_ms(
+        members.number_or("key_revocation_limit_ms", result.trust.revocation_limit.ms(), 100,
+                          max_revocation_limit_ms));
+    result.balance = members.balance("read_balance");
     result.log_level = members.text_or("log_level", "info");
     return result;
 }
--- a/proxy/settings.h
+++ b/proxy/settings.h
@@ -27,6 +27,8 @@
     std::string store;
     std::string promotion;  ///< Address of the promotion service; empty if there is none.
     duration stop_grace = duration::from_ms(6000);  ///< Time from SIGTERM to SIGKILL.
+    key_trust trust{false, duration::from_ms(5000)};
+    read_balance balance = read_balance::lowest_cost;
     std::string log_level = "info";
 };
 
--- a/proxy/statement_router.cc
+++ b/proxy/statement_router.cc
@@ -29,7 +29,12 @@
 
 statement_router::statement_router(fleet_state& fleet, mark_exchange& marks,
                                    daemon::metrics& counters)
-    : m_fleet{fleet}, m_marks{marks}, m_counters{counters}, m_outages{fleet.lease.length()} {}
+    : m_fleet{fleet},
+      m_marks{marks},
+      m_counters{counters},
+      m_outages{fleet.lease.length()},
+      // Hosts that draw the same numbers would choose the same endpoints.
+      m_random{static_cast<random_source::result_type>(std::hash<host_id>{}(fleet.host()))} {}
 
 statement_outcome statement_router::run(session_data& session, const database_route& route,
                                         const forwarded_statement& statement, when_full choice) {
@@ -82,8 +87,10 @@
         candidate.answer_age = now - pool->point_received_at();
         candidates.push_back(candidate);
     }
-    const auto chosen =
-        choose_read_endpoint(candidates, read_constraint{current.after, current.point_age});
+    const read_constraint need{current.after, current.point_age};
+    const auto chosen = m_balance == read_balance::random_choices
+                            ? choose_balanced_read_endpoint(candidates, need, m_random)
+                            : choose_read_endpoint(candidates, need);
     return chosen ? pools[*chosen] : nullptr;
 }
 
@@ -116,13 +123,6 @@
     return make_fault(statement_fault::busy, text);
 }
 
-/// Sets the log point that the read must see, and the age of that point on the primary.
-void statement_router::update_bound(statement_attempt& current, const session_data& session) {
-    const database_route& route = current.route;
-    const bool sees_own_writes = route.policy == read_policy::read_your_writes;
-    const session_writes own =
-        sees_own_writes ? last_write(session, route.group) : session_writes{};
-    const read_bounds& bounds = m_fleet.bounds(route.group);
 /// The key of the statement's caller may be removed while the statement waits.
 std::optional<statement_outcome> statement_router::refuse_unless_admitted(
     const statement_attempt& current) {
@@ -141,6 +141,13 @@
     return std::nullopt;
 }
 
+/// Sets the log point that the read must see, and the age of that point on the primary.
+void statement_router::update_bound(statement_attempt& current, const session_data& session) {
+    const database_route& route = current.route;
+    const bool sees_own_writes = route.policy == read_policy::read_your_writes;
+    const session_writes own =
+        sees_own_writes ? last_write(session, route.group) : session_writes{};
+    const read_bounds& bounds = m_fleet.bounds(route.group);
     current.after = bounds.required(current.statement.arrived, route.max_stale, own);
     current.point_age = current.after ? bounds.lag(*current.after, boot_now()) : route.max_stale;
 }
@@ -159,6 +166,9 @@
 std::variant<statement_router::acquired_endpoint, statement_outcome>
 statement_router::acquire_read_endpoint(statement_attempt& current, const session_data& session) {
     for (;;) {
+        if (auto refusal = refuse_unless_admitted(current)) {
+            return *refusal;
+        }
         update_bound(current, session);
         if (!current.after) {
             request_marks_if_needed(current.route.group);
@@ -166,9 +176,6 @@
         const auto pool = choose_read_pool(current);
         if (!pool) {
             if (const auto refusal = wait_for_endpoint(current)) {
-        if (auto refusal = refuse_unless_admitted(current)) {
-            return *refusal;
-        }
                 return *refusal;
             }
             continue;
@@ -285,6 +292,9 @@
 statement_router::acquire_primary(statement_attempt& current, bool needs_live_link) {
     const group_id& group = current.route.group;
     for (;;) {
+        if (auto refusal = refuse_unless_admitted(current)) {
+            return *refusal;
+        }
         if (current.is_over()) {
             return refuse(current, "no_primary",
                           "no usable primary of group " + group.str() + "; not run");
@@ -292,9 +302,6 @@
         const auto permit = m_fleet.lease.permit(group, boot_now());
         const auto pool = permit ? m_fleet.pool(permit->primary) : nullptr;
         if (!pool || pool->is_retired() || !pool->health().is_reachable()) {
-        if (auto refusal = refuse_unless_admitted(current)) {
-            return *refusal;
-        }
             const auto choice = m_outages.on_unavailable(group, m_fleet.lease.record(group),
                                                          boot_now(), current.give_up);
             if (m_is_unconfirmed || choice == outage_decision::refuse) {
--- a/proxy/statement_router.h
+++ b/proxy/statement_router.h
@@ -37,6 +37,8 @@
 public:
     statement_router(fleet_state& fleet, mark_exchange& marks, daemon::metrics& counters);
 
+    /// How reads are spread over endpoints that can all answer them.
+    void set_read_balance(read_balance balance) { m_balance = balance; }
     /// While neither the store nor the peers confirm this host's leases, statements that would
     /// have to wait are refused at once.
     void set_unconfirmed(bool is_unconfirmed) { m_is_unconfirmed = is_unconfirmed; }
@@ -112,9 +114,9 @@
 
     statement_outcome refuse(const statement_attempt& current, std::string_view counted,
                              std::string_view text);
+    std::optional<statement_outcome> refuse_unless_admitted(const statement_attempt& current);
     void record_lost_answer(const statement_attempt& current, endpoint_pool& pool,
                             const held_connection& connection, connection_fault fault);
-    std::optional<statement_outcome> refuse_unless_admitted(const statement_attempt& current);
     void record_mark(const group_id& group, const std::optional<primary_permit>& permit,
                      instant sent, const endpoint_answer& answer);
     void log_attempt(const statement_attempt& current, const endpoint_id& endpoint,
@@ -125,6 +127,8 @@
     daemon::metrics& m_counters;
     primary_outages m_outages;
     bool m_is_unconfirmed = false;
+    read_balance m_balance = read_balance::lowest_cost;
+    random_source m_random;
 };
 
 }  // namespace jasminelead::proxy
--- a/test/proxy_settings_test.cc
+++ b/test/proxy_settings_test.cc
@@ -44,6 +44,14 @@
     }
 }
 
+TEST_CASE("the balance of reads is the lowest cost unless it is set") {
+    CHECK(std::get<settings>(parse_settings(complete)).balance == read_balance::lowest_cost);
+    const auto chosen = parse_settings(complete + "read_balance: random_choices\n");
+    REQUIRE(std::holds_alternative<settings>(chosen));
+    CHECK(std::get<settings>(chosen).balance == read_balance::random_choices);
+    CHECK(std::holds_alternative<settings_errors>(parse_settings(complete + "read_balance: x\n")));
+}
+
 // Guards against a misspelt setting being ignored without an error.
 TEST_CASE("every error in the settings is reported") {
     const auto result = parse_settings(complete + "speling: 1\nmetrics_port: 70000\n");
