Use the account of each queued statement; state how balanced reads choose

Cause: a gateway that gets its first accounts while statements wait would look for a connection of another account than the queue did (found by reading). Change: the queue and the choice of the connection use the caller's account, whatever the configuration says by then.

--- a/include/jasminelead/read_selector.h
+++ b/include/jasminelead/read_selector.h
@@ -47,8 +47,8 @@
 
 using random_source = std::minstd_rand;
 
-/// The cheaper one of two endpoints drawn at random; the cheapest one of all while this host has no
-/// statement there.
+/// An endpoint of lowest placement cost where this host has no statement yet, otherwise the cheaper
+/// one of two drawn at random.
 ///
 /// Load pattern: several hosts send reads to the same endpoints, and each knows only its own
 /// statements there and how long the last ones took. Hosts that all take the lowest cost send to
--- a/proxy/endpoint_pool.cc
+++ b/proxy/endpoint_pool.cc
@@ -62,7 +62,7 @@
     const instant now = boot_now();
     const admission_request entry{number,        request.lane,
                                   request.share, request.start_deadline,
-                                  bound,         account_of(request.caller)};
+                                  bound,         request.caller.identity.account};
     if (m_by_account && !bound) {
         m_accounts.on_request(entry.account, now);
     }
@@ -96,11 +96,6 @@
     open_missing_connections();
 }
 
-/// Connections of one user serve all statements; those of accounts only their account's.
-account_id endpoint_pool::account_of(const authenticated_caller& caller) const {
-    return m_by_account ? caller.identity.account : account_id{};
-}
-
 std::optional<admission::dispatched> endpoint_pool::next_waiting() {
     if (m_by_account) {
         return m_queue.pop_for_account(
@@ -134,9 +129,9 @@
 /// Call when a usable connection is idle.
 connection_id endpoint_pool::take_connection(const waiter& turn) {
     const instant now = boot_now();
-    const auto taken = m_by_account
-                           ? m_connections.take_of_account(account_of(turn.caller), any_user, now)
-                           : m_connections.take(any_user, now);
+    const auto taken =
+        m_by_account ? m_connections.take_of_account(turn.caller.identity.account, any_user, now)
+                     : m_connections.take(any_user, now);
     return taken.value_or(no_connection);
 }
 
--- a/proxy/endpoint_pool.h
+++ b/proxy/endpoint_pool.h
@@ -129,7 +129,6 @@
     connection_id take_connection(const waiter& turn);
     void drop_unusable_connections();
     bool has_usable_connection(const account_id& account);
-    [[nodiscard]] account_id account_of(const authenticated_caller& caller) const;
     void open_missing_connections();
     void open_connections_of_accounts();
     bool close_idle_connection_for(const account_id& account, std::uint32_t limit);
