Occupy all slots before a test queues a statement

Traced: connections of the start were idle for less than 2 s, so that the other account could not close them and held 2 of 3 slots; the statement then ran as it should. Change: the test waits until the connections may be closed, and checks that three statements are in progress. Its other checks are unchanged.

--- a/support/session_endpoint.cc
+++ b/support/session_endpoint.cc
@@ -192,7 +192,11 @@
     if (verb == "STATUS" && m_is_busy) {
         return error_response(client_session, "BUSY");
     }
-    std::this_thread::sleep_for(take_delay(verb));
+    const auto delay = take_delay(verb);
+    const int counted = delay > std::chrono::milliseconds{0} ? 1 : 0;
+    m_delayed += counted;
+    std::this_thread::sleep_for(delay);
+    m_delayed -= counted;
     const std::lock_guard lock{m_group->lock};
     m_group->log.push_back(m_id + " " + id + " " + std::string{text});
     m_group->runs.push_back(client_session.name + " " + std::string{text});
--- a/support/session_endpoint.h
+++ b/support/session_endpoint.h
@@ -52,6 +52,8 @@
     void delay_next(std::string verb, std::chrono::milliseconds delay);
     /// Waits before it runs each statement with this verb.
     void delay_all(std::string verb, std::chrono::milliseconds delay);
+    /// Statements that wait because of a delay.
+    [[nodiscard]] int delayed() const { return m_delayed; }
     /// While busy, it has no free slot for STATUS.
     void set_busy(bool is_busy) { m_is_busy = is_busy; }
     /// Behaves like a primary of this term that does not know its successor: it reports the role
@@ -113,6 +115,7 @@
     std::atomic<std::uint64_t> m_former_term = 0;
     std::atomic<bool> m_crashed = false;
     std::atomic<int> m_accepted = 0;
+    std::atomic<int> m_delayed = 0;
     std::atomic<int> m_open_connections = 0;
     std::atomic<int> m_connection_limit = 1000;
     std::thread m_thread;
--- a/test/account_sessions_test.cc
+++ b/test/account_sessions_test.cc
@@ -174,8 +174,11 @@
     const bool is_relayed = GENERATE(false, true);
     account_fleet f{is_relayed ? 3 : 1, is_relayed ? few_connections : 8};
     CAPTURE(is_relayed);
-    // Statements of the other account occupy the slots of the primary, each on its own connection,
-    // until all hosts have heard of the removal.
+    caller agent{f.all.port(), "pay", agent_key};
+    // From now on the other account may close the connections of the start.
+    std::this_thread::sleep_for(std::chrono::milliseconds{2200});
+    // Its statements occupy the slots of the primary, each on a connection of its own, until all
+    // hosts have heard of the removal.
     f.all.endpoint(0).delay_all("WRITE", std::chrono::milliseconds{1200});
     std::list<std::thread> occupying;
     for (int i = 0; i < 3; ++i) {
@@ -184,18 +187,19 @@
             bank.query("WRITE busy" + std::to_string(i) + " v1");
         });
     }
-    std::this_thread::sleep_for(std::chrono::milliseconds{100});
+    for (int i = 0; i < 100 && f.all.endpoint(0).delayed() < 3; ++i) {
+        std::this_thread::sleep_for(std::chrono::milliseconds{10});
+    }
+    const int occupied_slots = f.all.endpoint(0).delayed();
     std::string answer;
-    std::thread waiting{[&] {
-        caller agent{f.all.port(), "pay", agent_key};
-        answer = agent.query("WRITE late v1");
-    }};
+    std::thread waiting{[&] { answer = agent.query("WRITE late v1"); }};
     std::this_thread::sleep_for(std::chrono::milliseconds{100});
     f.remove_key();
     waiting.join();
     for (std::thread& thread : occupying) {
         thread.join();
     }
+    CHECK(occupied_slots == 3);
     CHECK(answer.starts_with("ERROR AUTHFAIL"));
     CHECK_FALSE(f.ran("agents WRITE late v1"));
 }
