Name the sessions of a test and check their refusals

Cause: the linter found two sessions that were destroyed as they were made. Change: they are named, and the test checks why each was refused. Measured: the test passes; the linter passes on the file.

--- a/test/account_sessions_test.cc
+++ b/test/account_sessions_test.cc
@@ -214,8 +214,10 @@
             caller agent{f.all.port(host), "pay", agent_key};
             agent.query("WRITE a v1");
             agent.query("nonsense");
-            caller{f.all.port(host), "none", agent_key};
-            caller{f.all.port(host), "pay", unknown_key};
+            const caller without_route{f.all.port(host), "none", agent_key};
+            CHECK(without_route.first().starts_with("ERROR NODB"));
+            const caller without_account{f.all.port(host), "pay", unknown_key};
+            CHECK(without_account.first().starts_with("ERROR AUTHFAIL"));
         }
         const std::string records = records_sent_to_peers(f.all);
         REQUIRE(records.find("op/config") != std::string::npos);
