--- a/proxy/settings.cc
+++ b/proxy/settings.cc
@@ -48,7 +48,7 @@
     }
     double number_or(const char* name, double fallback, double min, double max) {
         const YAML::Node node = find(name);
-        if (!node || node.IsNull()) {
+        if (!node) {
             return fallback;
         }
         double value = 0;
@@ -59,10 +59,9 @@
         }
         return value;
     }
-    /// An empty value counts as absent.
     bool flag_or(const char* name, bool fallback) {
         const YAML::Node node = find(name);
-        if (!node || node.IsNull()) {
+        if (!node) {
             return fallback;
         }
         bool value = fallback;
--- a/test/proxy_settings_test.cc
+++ b/test/proxy_settings_test.cc
@@ -62,13 +62,15 @@
     CHECK(std::holds_alternative<settings_errors>(parse_settings("a: [")));
 }
 
-// Guards against a template that renders empty values where a deployment has no accounts.
-TEST_CASE("settings of keys may be absent or empty") {
-    for (const char* text : {"", "fail_closed:\nkey_revocation_limit_ms:\n"}) {
-        const auto result = parse_settings(complete + text);
-        REQUIRE(std::holds_alternative<settings>(result));
-        CHECK_FALSE(std::get<settings>(result).trust.fail_closed);
-        CHECK(std::get<settings>(result).trust.revocation_limit == 5_s);
+// Guards against deployments without accounts that are served differently, and against a setting
+// that was left empty by mistake.
+TEST_CASE("settings of keys may be absent, but not empty") {
+    const auto absent = parse_settings(complete);
+    REQUIRE(std::holds_alternative<settings>(absent));
+    CHECK_FALSE(std::get<settings>(absent).trust.fail_closed);
+    CHECK(std::get<settings>(absent).trust.revocation_limit == 5_s);
+    for (const char* empty : {"fail_closed:\n", "key_revocation_limit_ms:\n"}) {
+        CHECK(std::holds_alternative<settings_errors>(parse_settings(complete + empty)));
     }
     const auto closed =
         parse_settings(complete + "fail_closed: true\nkey_revocation_limit_ms: 800\n");
