--- a/daemon/http_client.cc
+++ b/daemon/http_client.cc
@@ -60,16 +60,17 @@
 
 std::variant<http_response, endpoint_error> http_client::exchange(
     std::string_view method, std::string_view target, std::string_view body, steady_time deadline,
-    std::span<const http_header> headers) {
+    std::span<const http_header> headers, std::string_view answer_header) {
     const std::string request = render_request(method, target, m_host, body, headers);
     const auto error = m_stream.write(boost::asio::buffer(request), deadline);
     if (error) {
         return fail(error);
     }
-    return read_response(deadline);
+    return read_response(deadline, answer_header);
 }
 
-std::variant<http_response, endpoint_error> http_client::read_response(steady_time deadline) {
+std::variant<http_response, endpoint_error> http_client::read_response(
+    steady_time deadline, std::string_view answer_header) {
     http::response_parser<http::string_body> parser;
     parser.eager(true);
     parser.header_limit(max_header_bytes);
@@ -96,6 +97,10 @@
     response.status = parser.get().result_int();
     response.keep_alive = parser.keep_alive();
     response.body = std::move(parser.get().body());
+    if (!answer_header.empty()) {
+        const auto value = parser.get()[{answer_header.data(), answer_header.size()}];
+        response.header.assign(value.data(), value.size());
+    }
     if (!response.keep_alive) {
         m_stream.close();
     }
--- a/daemon/http_client.h
+++ b/daemon/http_client.h
@@ -16,6 +16,7 @@
 struct http_response {
     unsigned status = 0;
     std::string body;
+    std::string header;  ///< Value of the header that the call asked for; empty without it.
     bool keep_alive = false;
 };
 
@@ -33,12 +34,13 @@
     std::optional<endpoint_error> connect(std::string_view address, steady_time deadline);
     /// Sends a request and reads its response. After an error the connection is reset, so that no
     /// queued bytes of the request are delivered later. After a response without keep-alive it is
-    /// closed.
+    /// closed. `answer_header` names the header of the response to return.
     std::variant<http_response, endpoint_error> exchange(std::string_view method,
                                                          std::string_view target,
                                                          std::string_view body,
                                                          steady_time deadline,
-                                                         std::span<const http_header> headers = {});
+                                                         std::span<const http_header> headers = {},
+                                                         std::string_view answer_header = {});
     /// Calls the callback once when bytes arrive or the connection ends.
     template <class Callback>
     void when_readable(Callback callback) {
@@ -51,7 +53,8 @@
     void close() { m_stream.close(); }
 
 private:
-    std::variant<http_response, endpoint_error> read_response(steady_time deadline);
+    std::variant<http_response, endpoint_error> read_response(steady_time deadline,
+                                                              std::string_view answer_header);
     endpoint_error fail(const boost::system::error_code& error);
 
     fiber_stream m_stream;
--- a/daemon/http_pool.cc
+++ b/daemon/http_pool.cc
@@ -50,7 +50,7 @@
         *request.sent = true;
     }
     return client->exchange(request.method, request.target, request.body, request.deadline,
-                            request.headers);
+                            request.headers, request.answer_header);
 }
 
 http_pool::client_ptr http_pool::acquire_idle(const std::string& address) {
--- a/daemon/http_pool.h
+++ b/daemon/http_pool.h
@@ -21,8 +21,9 @@
     steady_time connect_deadline = no_deadline;  ///< Limits only the connect, if earlier.
     bool new_connection = false;
     std::span<const http_header> headers;
-    bool repeatable = false;  ///< Retried when a reused connection turns out to be closed.
-    bool* sent = nullptr;     ///< Set when the request may have reached the server.
+    std::string_view answer_header;  ///< Header of the response to return; none if empty.
+    bool repeatable = false;         ///< Retried when a reused connection turns out to be closed.
+    bool* sent = nullptr;            ///< Set when the request may have reached the server.
     /// Not ended by `abort`: waits for its answer until the deadline.
     bool exempt_from_abort = false;
 };
--- a/include/jasminelead/lease_granters.h
+++ b/include/jasminelead/lease_granters.h
@@ -45,9 +45,10 @@
                         duration store_age, duration lease_length);
 
 /// True if no grant quorum is left among the hosts that have not acknowledged a mark. Until the
-/// granters are known for `max_time_on_grants`, hosts may rely on the previous ones.
-bool is_replacement_known(const granter_set& granters, duration known_for,
-                          const std::set<host_id>& acknowledged);
+/// granters are known for `max_time_on_grants`, hosts may rely on the previous ones, and on the
+/// members of the sets that the store has `lost` with an earlier era.
+bool is_replacement_known(const granter_set& granters, std::span<const std::set<host_id>> lost,
+                          duration known_for, const std::set<host_id>& acknowledged);
 
 /// Granters for a fleet of these hosts, spread over the data centres.
 std::set<host_id> choose_granters(std::span<const host_placement> hosts);
--- a/include/jasminelead/primary_lease.h
+++ b/include/jasminelead/primary_lease.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "jasminelead/log_point.h"
+#include "jasminelead/store_revision.h"
 #include "jasminelead/types.h"
 
 /// Current primary of each group and the lease under which this daemon may use it.
@@ -15,12 +16,17 @@
 /// acknowledged the change or `lease_length` has passed since enough granters did. A daemon uses a
 /// primary only while its last confirmation that the record is unchanged, by the store or by
 /// granters, is younger than `lease_length`.
+///
+/// A store that returns from an older copy may have lost a later record. A record therefore states
+/// the era in which it was written, and names a primary to use in that era only. In a later one it
+/// is replaced like the record of a lost primary, although the same endpoint may still lead.
 namespace jasminelead {
 
 enum class leadership_phase { led, changing };
 
 struct group_record {
     revision_number revision = 0;  ///< Store revision; 0 if there is no record.
+    store_era era = 0;             ///< Of the store when the record was written.
     leadership_phase phase = leadership_phase::led;
     endpoint_id primary;
     endpoint_id successor;  ///< Set while changing.
@@ -46,11 +52,17 @@
 
     /// The store held exactly the known records at some time after `sent`.
     void confirm(instant sent);
-    /// Returns true if the record is newer than the known one.
+    /// Returns true if the record is newer than the known one. An outdated record keeps the term of
+    /// the known one if that is higher.
     bool apply(const group_id& group, const group_record& record);
     /// Invalidates all permits until the next confirmation, for example after the host's
     /// registration was lost.
     void revoke();
+    /// The store is in this era or a later one.
+    void advance_era(store_era era);
+    [[nodiscard]] store_era era() const { return m_era; }
+    /// True if the record may have been followed by another one that the store has lost.
+    [[nodiscard]] bool is_outdated(const group_record& record) const { return record.era != m_era; }
 
     [[nodiscard]] std::optional<primary_permit> permit(const group_id& group, instant now) const;
     [[nodiscard]] bool is_valid(const group_id& group, const primary_permit& held,
@@ -66,6 +78,7 @@
 private:
     duration m_length;
     std::optional<instant> m_confirmed;
+    store_era m_era = 0;  ///< Newest known era of the store.
     std::map<group_id, group_record> m_records;
 };
 
--- a/include/jasminelead/promotion.h
+++ b/include/jasminelead/promotion.h
@@ -36,7 +36,8 @@
 /// Promotions that were sent, or may have been, and have not been seen to take effect.
 class pending_promotions {
 public:
-    /// Call with each record that becomes known. `is_own` is true for records of this process.
+    /// Call with each record that becomes known, unless it names a primary and is outdated.
+    /// `is_own` is true for records of this process.
     void on_record(const group_id& group, const group_record& record, bool is_own, instant now);
     /// This process has sent a promotion.
     void on_sent(const group_id& group, const endpoint_id& successor, instant now);
--- a/proxy/event_log.cc
+++ b/proxy/event_log.cc
@@ -15,6 +15,7 @@
 #include <memory>
 
 #include "daemon/clock.h"
+#include "jasminelead/store_revision.h"
 
 namespace jasminelead::proxy {
 namespace {
@@ -163,6 +164,13 @@
     return *this;
 }
 
+log_line& log_line::with_revision(std::string_view name, revision_number value) {
+    if (era_of(value) != 0) {
+        with("era", era_of(value));
+    }
+    return with(name, revision_within_era(value));
+}
+
 log_line& log_line::with(std::string_view name, duration value) {
     m_text.append(",\"").append(name).append("\":");
     append_number(m_text, value.us() / 1000);
--- a/proxy/event_log.h
+++ b/proxy/event_log.h
@@ -28,6 +28,8 @@
         return with(name, std::uint64_t{value});
     }
     log_line& with(std::string_view name, duration value);
+    /// Writes the revision as the store itself counts it, and its era as `era` unless it is 0.
+    log_line& with_revision(std::string_view name, revision_number value);
     template <class Tag>
     log_line& with(std::string_view name, const basic_id<Tag>& value) {
         return with(name, std::string_view{value.str()});
--- a/proxy/failover_agent.cc
+++ b/proxy/failover_agent.cc
@@ -70,6 +70,9 @@
 /// reachability reports of hosts are counted only for groups with a sign of failure.
 bool failover_agent::needs_check(const group_id& group, const group_record& record,
                                  const std::set<endpoint_id>& reported) const {
+    if (m_fleet.lease.is_outdated(record)) {
+        return may_replace_outdated(boot_now());
+    }
     const bool is_known_due = m_due_since.contains({group, record.revision});
     if (is_known_due || record.phase == leadership_phase::changing ||
         reported.contains(record.primary)) {
@@ -80,17 +83,25 @@
            pool->endpoint().role == endpoint_role::replica;
 }
 
+/// A host that started in the present era does not know the granters that the store may have lost.
+/// It waits until no host can rely on them; hosts that knew the earlier era need not.
+bool failover_agent::may_replace_outdated(instant now) const {
+    const bool knows_store = era_of(m_sync.complete_up_to()) == m_fleet.lease.era();
+    return knows_store && (m_sync.has_seen_earlier_era() || m_sync.knows_removed_hosts(now));
+}
+
 void failover_agent::check_group(const group_id& group, const group_record& record) {
     const auto key = std::pair{group, record.revision};
-    const bool changing = record.phase == leadership_phase::changing;
+    const bool outdated = m_fleet.lease.is_outdated(record);
+    const bool changing = record.phase == leadership_phase::changing && !outdated;
     primary_health health = assess_primary(group, record.primary);
     bool only_by_role = false;
-    if (!changing && health.reports_replica_role) {
+    if (!changing && !outdated && health.reports_replica_role) {
         health.reports_replica_role = false;
         only_by_role = decide_replacement(health) == replacement::none;
     }
     const replacement kind =
-        changing || only_by_role ? replacement::urgent : decide_replacement(health);
+        changing || outdated || only_by_role ? replacement::urgent : decide_replacement(health);
     if (kind == replacement::none) {
         m_due_since.erase(key);
         return;
@@ -227,17 +238,18 @@
 /// Names each sign of failure, because the reasons of replacements that follow each other differ.
 void failover_agent::log_due(const group_id& group, const group_record& record,
                              const primary_health& health, replacement kind, bool only_by_role) {
-    const std::string_view why = record.phase == leadership_phase::changing ? "unfinished"
-                                 : only_by_role                             ? "listed_as_replica"
-                                 : !health.is_listed                        ? "not_listed"
-                                 : kind == replacement::planned             ? "leaving"
-                                                                            : "unreachable";
+    const std::string_view why = m_fleet.lease.is_outdated(record)            ? "outdated"
+                                 : record.phase == leadership_phase::changing ? "unfinished"
+                                 : only_by_role                               ? "listed_as_replica"
+                                 : !health.is_listed                          ? "not_listed"
+                                 : kind == replacement::planned               ? "leaving"
+                                                                              : "unreachable";
     m_counters.count("replacements_due", why);
     log_line{log_class::change, "replacement_due"}
         .with("group", group)
         .with("primary", record.primary)
         .with("reason", why)
-        .with("revision", record.revision)
+        .with_revision("revision", record.revision)
         .with("voters", std::uint64_t{health.voters})
         .with("voters_without", std::uint64_t{health.voters_without_primary})
         .write();
@@ -245,13 +257,14 @@
 
 std::vector<successor_candidate> failover_agent::ask_candidates(const group_id& group,
                                                                 const group_record& record,
+                                                                bool includes_primary,
                                                                 term_number& term) const {
     const endpoint_id& old_primary = record.primary;
     const auto old_pool = m_fleet.pool(old_primary);
     std::vector<successor_candidate> candidates;
     for (const auto& pool : m_fleet.pools(group)) {
         const listed_endpoint& endpoint = pool->endpoint();
-        const bool usable = endpoint.entry.id != old_primary &&
+        const bool usable = (includes_primary || endpoint.entry.id != old_primary) &&
                             endpoint.entry.state == member_state::live &&
                             pool->health().is_reachable();
         const status_answer answer = usable ? query_status(m_fleet, endpoint.entry.id)
@@ -288,8 +301,10 @@
 /// Before the first record of granters, no host relies on them.
 bool failover_agent::is_replacement_quorum(const std::set<host_id>& hosts) const {
     const auto& granters = m_sync.records().granters();
+    const auto& lost = m_sync.records().lost_granters();
     return !granters ||
-           is_replacement_known(*granters, m_sync.records().granters_known_for(boot_now()), hosts);
+           is_replacement_known(*granters, lost, m_sync.records().granters_known_for(boot_now()),
+                                hosts);
 }
 
 void failover_agent::record_changes() {
@@ -298,7 +313,12 @@
         const bool is_own = record.changed_by == m_self &&
                             record.changed_by_incarnation == m_sync.own_record().incarnation;
         m_starts.record(group, record, now);
-        m_pending.on_record(group, record, is_own, now);
+        // A mark that the store has lost may have led to a promotion.
+        const bool is_lead_unproven =
+            record.phase == leadership_phase::led && m_fleet.lease.is_outdated(record);
+        if (!is_lead_unproven) {
+            m_pending.on_record(group, record, is_own, now);
+        }
     }
 }
 
--- a/proxy/failover_agent.h
+++ b/proxy/failover_agent.h
@@ -40,6 +40,7 @@
         term_number term = 0;         ///< Highest term reported by the group's endpoints.
         term_number leader_term = 0;  ///< Lowest term in which an endpoint can lead the group.
         bool has_leader = false;      ///< The successor leads already.
+        bool was_outdated = false;    ///< The record was of an earlier era before the mark.
         std::optional<log_point> taken_over_at;  ///< End of the successor's log.
         replacement kind = replacement::none;
         instant marked_at;           ///< When the mark was sent to the store.
@@ -54,6 +55,8 @@
 
     void run();
     void check_groups();
+    /// True if this host may write the record of the present era that follows an outdated one.
+    [[nodiscard]] bool may_replace_outdated(instant now) const;
     [[nodiscard]] bool needs_check(const group_id& group, const group_record& record,
                                    const std::set<endpoint_id>& reported) const;
     void check_group(const group_id& group, const group_record& record);
@@ -80,9 +83,13 @@
     void read_users(replacement_run& current);
     /// Chooses a successor and marks the group's record as changing.
     std::optional<replacement_run> write_mark(const group_id& group, replacement kind);
+    /// Endpoints of the group that may succeed the recorded primary, also itself if
+    /// `includes_primary`. Raises `term` to the highest one that they report.
     std::vector<successor_candidate> ask_candidates(const group_id& group,
                                                     const group_record& record,
-                                                    term_number& term) const;
+                                                    bool includes_primary, term_number& term) const;
+    /// Asks the endpoints once more which one leads.
+    [[nodiscard]] bool does_successor_lead(const replacement_run& current) const;
     /// Asks until the endpoint has a free slot, at most until `deadline`.
     status_answer query_status_until(const endpoint_id& endpoint, instant deadline) const;
     void log_due(const group_id& group, const group_record& record, const primary_health& health,
--- a/proxy/failover_agent_replacement.cc
+++ b/proxy/failover_agent_replacement.cc
@@ -42,6 +42,7 @@
         .with("old_primary", current.old_primary)
         .with("successor", current.record.successor)
         .with("token", current.record.revision)
+        .with_revision("revision", current.record.revision)
         .with("term", current.term)
         .with("marked_ms_ago", boot_now() - current.marked_at);
     if (since) {
@@ -51,15 +52,19 @@
 }
 
 bool failover_agent::write_record(replacement_run& current, group_record record) {
+    record.era = m_sync.store().era();
     record.changed_by = m_self;
     record.changed_by_incarnation = m_sync.own_record().incarnation;
+    // A record that is known from an earlier era only is missing in the store.
+    const std::string key = group_key(current.group);
+    const bool is_lost = era_of(current.record.revision) < record.era;
     platform::store_transaction transaction;
-    transaction.conditions.push_back({group_key(current.group), current.record.revision});
+    transaction.conditions.push_back(
+        {key, is_lost ? m_sync.records().stored_revision(key) : current.record.revision});
     // Other hosts no longer wait for a host that was removed from the registry, so its write must
     // fail.
     transaction.conditions.push_back({host_key(m_self), m_sync.own_revision()});
-    transaction.updates.push_back(
-        {group_key(current.group), encode_group_record(record), platform::no_lease});
+    transaction.updates.push_back({key, encode_group_record(record), platform::no_lease});
     const auto result = m_sync.store().commit(transaction, to_steady(boot_now() + store_timeout));
     if (!result) {
         log_step(current, "write_record", platform::to_string(result.fault));
@@ -82,8 +87,12 @@
     current.term = known->term;
     // Another daemon that started this replacement may have promoted already.
     current.may_be_promoted = known->phase == leadership_phase::changing;
+    current.was_outdated = m_fleet.lease.is_outdated(*known);
     const revision_number before = known->revision;
-    const auto candidates = ask_candidates(group, current.record, current.term);
+    // The primary of an outdated record may lead still. That of a mark has been stepped down, or
+    // is to be.
+    const bool may_still_lead = current.was_outdated && known->phase == leadership_phase::led;
+    const auto candidates = ask_candidates(group, current.record, may_still_lead, current.term);
     current.leader_term = lowest_leader_term(current.record, current.term);
     const auto leader = find_leader(candidates, current.leader_term);
     current.has_leader = leader.has_value();
@@ -156,6 +165,10 @@
         return false;
     }
     wait_until_primary_unused(*current);
+    if (current->was_outdated && current->has_leader && !does_successor_lead(*current)) {
+        log_step(*current, "confirm_leader", "another_leads");
+        return false;
+    }
     if (current->has_leader) {
         return wait_for_promotion(*current) && write_primary(*current, current->record.successor);
     }
@@ -175,6 +188,15 @@
     return false;
 }
 
+/// A promotion whose mark the store has lost may have taken effect during the wait. Its endpoint
+/// and the former primary then both report that they lead, in different terms.
+bool failover_agent::does_successor_lead(const replacement_run& current) const {
+    term_number newest = current.term;
+    const auto candidates = ask_candidates(current.group, current.record, true, newest);
+    const auto leader = find_leader(candidates, std::max(newest, current.leader_term));
+    return leader && candidates[*leader].id == current.record.successor;
+}
+
 bool failover_agent::has_stopped_using_primary(const replacement_run& current,
                                                const host_id& host) const {
     if (host == m_self) {
--- a/proxy/gateway_messages.cc
+++ b/proxy/gateway_messages.cc
@@ -103,10 +103,11 @@
 
 void encode_write(json::object& object, const session_writes& write, const group_id& group) {
     if (write.point) {
-        object.emplace("writes", json::object{{"group", group.str()},
-                                              {"term", write.point->term},
-                                              {"position", write.point->position},
-                                              {"leadership", write.leadership}});
+        json::object fields{{"group", group.str()},
+                            {"term", write.point->term},
+                            {"position", write.point->position}};
+        put_revision(fields, "leadership", write.leadership);
+        object.emplace("writes", std::move(fields));
     }
 }
 
@@ -123,7 +124,7 @@
     const log_point point{number_of(*fields, "term").value_or(0),
                           number_of(*fields, "position").value_or(0)};
     return {group_id{text_of(*fields, "group").value_or("")},
-            {point, number_of(*fields, "leadership").value_or(0)}};
+            {point, revision_of(*fields, "leadership").value_or(0)}};
 }
 
 json::object encode_caller(const authenticated_caller& caller) {
--- a/proxy/granter_keeper.cc
+++ b/proxy/granter_keeper.cc
@@ -59,7 +59,8 @@
         return;
     }
     platform::store_transaction transaction;
-    transaction.conditions.push_back({granters_key(), known ? known->revision : 0});
+    transaction.conditions.push_back(
+        {granters_key(), m_sync.records().stored_revision(granters_key())});
     transaction.updates.push_back({granters_key(), encode_granters(next), platform::no_lease});
     m_sync.store().commit(transaction, detail::call_deadline());
 }
--- a/proxy/mark_messages.cc
+++ b/proxy/mark_messages.cc
@@ -19,7 +19,7 @@
     const auto age = duration_of(*object, "age_us");
     const auto term = number_of(*object, "term");
     const auto position = number_of(*object, "position");
-    const auto leadership = number_of(*object, "leadership");
+    const auto leadership = revision_of(*object, "leadership");
     if (!group || !age || !term || !position || !leadership) {
         return std::nullopt;
     }
@@ -55,11 +55,12 @@
 std::string encode_mark_response(const std::vector<aged_mark>& marks) {
     json::array rows;
     for (const aged_mark& mark : marks) {
-        rows.push_back(json::object{{"group", mark.group.str()},
-                                    {"age_us", mark.age.us()},
-                                    {"term", mark.point.term},
-                                    {"position", mark.point.position},
-                                    {"leadership", mark.leadership}});
+        json::object row{{"group", mark.group.str()},
+                         {"age_us", mark.age.us()},
+                         {"term", mark.point.term},
+                         {"position", mark.point.position}};
+        put_revision(row, "leadership", mark.leadership);
+        rows.push_back(std::move(row));
     }
     return json::serialize(json::object{{"marks", std::move(rows)}});
 }
--- a/proxy/own_records.cc
+++ b/proxy/own_records.cc
@@ -70,7 +70,8 @@
 
 std::string encode_group_record(const group_record& record) {
     const bool led = record.phase == leadership_phase::led;
-    return json::serialize(json::object{{"phase", led ? "led" : "changing"},
+    return json::serialize(json::object{{"era", record.era},
+                                        {"phase", led ? "led" : "changing"},
                                         {"primary", record.primary.str()},
                                         {"successor", record.successor.str()},
                                         {"changed_by", record.changed_by.str()},
@@ -100,6 +101,8 @@
         return std::nullopt;
     }
     group_record record;
+    // Builds that know no eras write none.
+    record.era = number_of(*object, "era").value_or(0);
     record.phase = *phase == "led" ? leadership_phase::led : leadership_phase::changing;
     record.primary = endpoint_id{*primary};
     record.successor = endpoint_id{*successor};
--- a/proxy/peer_messages.cc
+++ b/proxy/peer_messages.cc
@@ -11,7 +11,8 @@
 namespace json = boost::json;
 
 json::value encode_change(const platform::store_change& change) {
-    json::object object{{"key", change.key}, {"revision", change.revision}};
+    json::object object{{"key", change.key}};
+    put_revision(object, "revision", change.revision);
     if (change.value) {
         object.emplace("value", *change.value);
     }
@@ -24,7 +25,7 @@
         return std::nullopt;
     }
     auto key = text_of(*object, "key");
-    const auto revision = number_of(*object, "revision");
+    const auto revision = revision_of(*object, "revision");
     if (!key || !revision) {
         return std::nullopt;
     }
@@ -38,16 +39,14 @@
     for (const endpoint_id& endpoint : request.unreachable) {
         unreachable.emplace_back(endpoint.str());
     }
-    json::object stopped;
-    for (const auto& [group, revision] : request.stopped_use) {
-        stopped.emplace(group.str(), revision);
-    }
-    return json::serialize(json::object{{"host", request.host.str()},
-                                        {"incarnation", request.incarnation},
-                                        {"known", request.known},
-                                        {"unreachable", std::move(unreachable)},
-                                        {"stopped_use", std::move(stopped)},
-                                        {"hold_us", request.hold.us()}});
+    json::object object{{"host", request.host.str()},
+                        {"incarnation", request.incarnation},
+                        {"era", request.era},
+                        {"unreachable", std::move(unreachable)},
+                        {"hold_us", request.hold.us()}};
+    put_revision(object, "known", request.known);
+    put_revisions(object, "stopped_use", request.stopped_use);
+    return json::serialize(object);
 }
 
 std::optional<peer_request> decode_peer_request(std::string_view text) {
@@ -57,26 +56,26 @@
     }
     const auto host = text_of(*object, "host");
     const auto incarnation = number_of(*object, "incarnation");
-    const auto known = number_of(*object, "known");
+    const auto known = revision_of(*object, "known");
     const json::value* const unreachable = object->if_contains("unreachable");
-    const json::value* const stopped = object->if_contains("stopped_use");
+    auto stopped = revisions_of(*object, "stopped_use");
     const bool complete = host && incarnation && known && unreachable != nullptr &&
-                          unreachable->is_array() && stopped != nullptr && stopped->is_object();
+                          unreachable->is_array() && stopped;
     if (!complete) {
         return std::nullopt;
     }
-    peer_request request{host_id{*host}, *incarnation, *known, {}, {}, {}};
+    peer_request request;
+    request.host = host_id{*host};
+    request.incarnation = *incarnation;
+    request.era = number_of(*object, "era").value_or(0);
+    request.known = *known;
+    request.stopped_use = std::move(*stopped);
     request.hold = duration_of(*object, "hold_us").value_or(duration{});
     for (const json::value& endpoint : unreachable->get_array()) {
         if (endpoint.is_string()) {
             request.unreachable.emplace(endpoint.get_string().c_str());
         }
     }
-    const json::object& revisions = stopped->get_object();
-    for (const auto& member : revisions) {
-        const std::string group{member.key()};
-        request.stopped_use[group_id{group}] = number_of(revisions, group).value_or(0);
-    }
     return request;
 }
 
@@ -85,11 +84,12 @@
     for (const platform::store_change& change : response.changes) {
         changes.push_back(encode_change(change));
     }
-    json::object object{{"knows_sender", response.knows_sender},
+    json::object object{{"era", response.era},
+                        {"knows_sender", response.knows_sender},
                         {"is_replacing", response.is_replacing},
                         {"held_us", response.held.us()},
-                        {"complete_up_to", response.complete_up_to},
                         {"changes", std::move(changes)}};
+    put_revision(object, "complete_up_to", response.complete_up_to);
     if (response.confirmed_age) {
         object.emplace("confirmed_age_us", response.confirmed_age->us());
     }
@@ -97,11 +97,7 @@
         object.emplace("lease_age_us", response.lease_age->us());
     }
     if (response.group_revisions) {
-        json::object revisions;
-        for (const auto& [group, revision] : *response.group_revisions) {
-            revisions.emplace(group.str(), revision);
-        }
-        object.emplace("group_revisions", std::move(revisions));
+        put_revisions(object, "group_revisions", *response.group_revisions);
     }
     return json::serialize(object);
 }
@@ -116,12 +112,13 @@
         return std::nullopt;
     }
     peer_response response;
+    response.era = number_of(*object, "era").value_or(0);
     response.knows_sender = flag_of(*object, "knows_sender");
     response.is_replacing = flag_of(*object, "is_replacing");
     response.confirmed_age = duration_of(*object, "confirmed_age_us");
     response.lease_age = duration_of(*object, "lease_age_us");
     response.held = duration_of(*object, "held_us").value_or(duration{});
-    response.complete_up_to = number_of(*object, "complete_up_to").value_or(0);
+    response.complete_up_to = revision_of(*object, "complete_up_to").value_or(0);
     for (const json::value& value : changes->get_array()) {
         auto change = decode_change(value);
         if (!change) {
@@ -129,15 +126,10 @@
         }
         response.changes.push_back(std::move(*change));
     }
-    if (const json::object* const revisions = object_of(*object, "group_revisions")) {
-        response.group_revisions.emplace();
-        for (const auto& member : *revisions) {
-            const std::string group{member.key()};
-            const auto revision = number_of(*revisions, group);
-            if (!revision) {
-                return std::nullopt;
-            }
-            (*response.group_revisions)[group_id{group}] = *revision;
+    if (object_of(*object, "group_revisions") != nullptr) {
+        response.group_revisions = revisions_of(*object, "group_revisions");
+        if (!response.group_revisions) {
+            return std::nullopt;
         }
     }
     return response;
--- a/proxy/peer_messages.h
+++ b/proxy/peer_messages.h
@@ -16,6 +16,7 @@
 struct peer_request {
     host_id host;
     incarnation_number incarnation = 0;
+    store_era era = 0;          ///< Newest era of the store that the sender knows.
     revision_number known = 0;  ///< The sender knows the records up to this revision.
     std::set<endpoint_id> unreachable;
     /// Revision of the record up to which the sender has stopped using the old primary, by group.
@@ -24,6 +25,7 @@
 };
 
 struct peer_response {
+    store_era era = 0;  ///< Newest era of the store that the responder knows.
     /// The responder knows the sender as registered and waits for it before replacing a primary.
     bool knows_sender = false;
     bool is_replacing = false;  ///< The responder is replacing a primary.
--- a/proxy/peer_sync.cc
+++ b/proxy/peer_sync.cc
@@ -167,8 +167,14 @@
 
 peer_request peer_sync::make_peer_request() const {
     const host_record& own = m_sync.own_record();
-    return {m_self,          own.incarnation,      m_sync.records().revision(),
-            own.unreachable, m_sync.stopped_use(), duration{}};
+    peer_request request;
+    request.host = m_self;
+    request.incarnation = own.incarnation;
+    request.era = m_fleet.lease.era();
+    request.known = m_sync.records().revision();
+    request.unreachable = own.unreachable;
+    request.stopped_use = m_sync.stopped_use();
+    return request;
 }
 
 void peer_sync::query_peers() {
@@ -258,9 +264,12 @@
     for (const platform::store_change& change : answer.changes) {
         m_sync.records().apply(change);
     }
+    m_fleet.lease.advance_era(answer.era);
     m_sync.acknowledge_changes();
     ++current->answered;
-    if (!answer.knows_sender || !answer.confirmed_age) {
+    // A host that does not know the present era confirms records that the store has lost.
+    const bool knows_era = answer.era == m_fleet.lease.era();
+    if (!answer.knows_sender || !answer.confirmed_age || !knows_era) {
         return;
     }
     current->confirmed_by += answer.is_replacing ? 0 : 1;
@@ -309,6 +318,7 @@
     if (!request) {
         return std::nullopt;
     }
+    m_fleet.lease.advance_era(request->era);
     m_peer_reachability[request->host] = {boot_now(), request->unreachable};
     for (const auto& [group, revision] : request->stopped_use) {
         m_sync.records().record_stopped_use(group, request->host, revision);
@@ -316,6 +326,7 @@
     const instant received_at = boot_now();
     hold(*request, received_at);
     peer_response reply;
+    reply.era = m_fleet.lease.era();
     reply.held = boot_now() - received_at;
     reply.complete_up_to = m_sync.complete_up_to();
     const duration lease_age = m_fleet.lease.age(boot_now());
--- a/proxy/record_follower.cc
+++ b/proxy/record_follower.cc
@@ -68,8 +68,14 @@
     }
     const std::string address = found->second.peer_address;
     const host_record& own = m_sync.own_record();
-    const peer_request request{own.host,        own.incarnation,      m_sync.complete_up_to(),
-                               own.unreachable, m_sync.stopped_use(), max_hold};
+    peer_request request;
+    request.host = own.host;
+    request.incarnation = own.incarnation;
+    request.era = m_fleet.lease.era();
+    request.known = m_sync.complete_up_to();
+    request.unreachable = own.unreachable;
+    request.stopped_use = m_sync.stopped_use();
+    request.hold = max_hold;
     const std::string body = encode_peer_request(request);
     const instant sent = boot_now();
     daemon::http_call call;
@@ -99,6 +105,12 @@
     for (const platform::store_change& change : answer.changes) {
         m_sync.records().apply(change);
     }
+    m_fleet.lease.advance_era(answer.era);
+    if (answer.era != m_fleet.lease.era()) {
+        // The reader confirms records that the store has lost. It will read the new ones soon: if
+        // all its followers read the store meanwhile, they would exceed the store's rate limit.
+        return true;
+    }
     const bool by_store = answer.confirmed_age && *answer.confirmed_age < max_confirmed_age;
     m_sync.on_reader_answer(
         answer.complete_up_to, answered - *answer.lease_age,
@@ -113,7 +125,7 @@
     m_reader = reader;
     log_line{log_class::change, "store_reader"}
         .with("reader", reader)
-        .with("complete_up_to", m_sync.complete_up_to())
+        .with_revision("complete_up_to", m_sync.complete_up_to())
         .with("confirmed_age_ms", m_sync.confirmed_age(boot_now()))
         .write();
 }
--- a/proxy/record_mirror.cc
+++ b/proxy/record_mirror.cc
@@ -181,7 +181,8 @@
         .with("successor", record.successor)
         .with("changed_by", record.changed_by)
         .with("term", record.term)
-        .with("revision", record.revision)
+        .with_revision("revision", record.revision)
+        .with("outdated", m_fleet.lease.is_outdated(record) ? "true" : "false")
         .write();
     m_fleet.retire_leaving(boot_now());
     m_fleet.changed.notify_all();
@@ -191,6 +192,12 @@
     m_liveness.on_lease(host, is_alive, boot_now());
 }
 
+revision_number record_mirror::stored_revision(const std::string& key) const {
+    const auto found = m_items.find(key);
+    const bool is_stored = found != m_items.end() && found->second.value;
+    return is_stored ? found->second.revision : 0;
+}
+
 revision_number record_mirror::host_revision(const host_id& host) const {
     const auto found = m_items.find(host_key(host));
     return found == m_items.end() ? 0 : found->second.revision;
@@ -268,8 +275,13 @@
     log_line{log_class::change, "granters"}
         .with("members", granters->members.size())
         .with("previous", granters->previous.size())
-        .with("revision", revision)
+        .with_revision("revision", revision)
         .write();
+    if (!m_granters || era_of(m_granters->revision) == era_of(revision)) {
+        m_lost_granters.clear();
+    } else if (m_granters->members != granters->members) {
+        m_lost_granters.push_back(m_granters->members);
+    }
     m_granters = std::move(granters);
     m_granters_since = boot_now();
 }
--- a/proxy/record_mirror.h
+++ b/proxy/record_mirror.h
@@ -43,6 +43,8 @@
     [[nodiscard]] revision_number revision() const { return m_revision; }
 
     [[nodiscard]] const std::map<host_id, host_record>& hosts() const { return m_hosts; }
+    /// Revision of the key in the store as it is known here; 0 if the store has no such key.
+    [[nodiscard]] revision_number stored_revision(const std::string& key) const;
     /// Revision of the host's registration; 0 without one.
     [[nodiscard]] revision_number host_revision(const host_id& host) const;
     [[nodiscard]] const host_liveness& liveness() const { return m_liveness; }
@@ -50,6 +52,11 @@
     [[nodiscard]] std::uint64_t hosts_version() const { return m_hosts_version; }
     /// Hosts that may confirm leases instead of the store; empty before the first record.
     [[nodiscard]] const std::optional<granter_set>& granters() const { return m_granters; }
+    /// Members of the granter sets that the store has lost with an earlier era. Hosts that do not
+    /// know of the new era may rely on them as long as on the previous members.
+    [[nodiscard]] const std::vector<std::set<host_id>>& lost_granters() const {
+        return m_lost_granters;
+    }
     /// Time since this host has known the present granters.
     [[nodiscard]] duration granters_known_for(instant now) const { return now - m_granters_since; }
     /// True if every host that could replace a primary asks the granters.
@@ -97,6 +104,7 @@
     std::uint64_t m_hosts_version = 0;
     host_liveness m_liveness;
     std::optional<granter_set> m_granters;
+    std::vector<std::set<host_id>> m_lost_granters;
     instant m_granters_since;
     std::map<endpoint_id, instant> m_unlisted_since;       ///< Endpoints without a readable entry.
     std::map<std::string, revision_number> m_stopped_use;  ///< By key.
--- a/proxy/statement_router.cc
+++ b/proxy/statement_router.cc
@@ -279,7 +279,9 @@
 /// on to another host would not help.
 bool statement_router::is_primary_unavailable_here(const group_id& group) const {
     const group_record* const record = m_fleet.lease.record(group);
-    if (record == nullptr || record->phase != leadership_phase::led) {
+    const bool is_failover = record == nullptr || record->phase != leadership_phase::led ||
+                             m_fleet.lease.is_outdated(*record);
+    if (is_failover) {
         return false;
     }
     const auto permit = m_fleet.lease.permit(group, boot_now());
@@ -466,7 +468,7 @@
         .with("config", m_fleet.config.version())
         .with("lease_age_ms", m_fleet.lease.age(now));
     if (current.record_revision) {
-        line.with("record", *current.record_revision);
+        line.with_revision("record", *current.record_revision);
     }
     if (!success && !current.skip_reasons.empty()) {
         line.with("passed_over", current.skip_reasons_text());
--- a/proxy/store_sync.cc
+++ b/proxy/store_sync.cc
@@ -45,7 +45,9 @@
                    {},
                    fleet.lease.length(),
                    true},
-      m_store{fleet.home().io(), options.store, counters} {}
+      m_store{fleet.home().io(), options.store, counters} {
+    m_store.on_new_era([this](store_era era) { on_new_era(era); });
+}
 
 void store_sync::start() {
     m_fleet.home().spawn([this] { run_watch(); });
@@ -54,6 +56,22 @@
     m_fleet.home().spawn([this] { run_keep_alive(); });
 }
 
+/// The store has returned from an older copy, or this is the first answer. No primary is used from
+/// now on until its record was written again in this era.
+void store_sync::on_new_era(store_era era) {
+    m_era_seen_at = boot_now();
+    m_has_seen_earlier_era = m_confirmed_at.has_value();
+    m_counters.count("store_eras", m_has_seen_earlier_era ? "restored" : "first");
+    log_line{log_class::change, "store_era"}
+        .with("era", era)
+        .with("before", m_fleet.lease.era())
+        .with_revision("complete_up_to", complete_up_to())
+        .with("groups", std::uint64_t{m_fleet.lease.records().size()})
+        .write();
+    m_fleet.lease.advance_era(era);
+    m_fleet.changed.notify_all();
+}
+
 void store_sync::record_store_status(platform::store_fault fault) {
     const bool lost = fault != platform::store_fault::none;
     if (lost) {
@@ -229,8 +247,9 @@
 }
 
 bool store_sync::knows_removed_hosts(instant now) const {
-    return m_first_confirmed_at &&
-           *m_first_confirmed_at + max_time_on_grants + m_mirror.longest_lease() <= now;
+    const duration wait = max_time_on_grants + m_mirror.longest_lease();
+    return m_first_confirmed_at && *m_first_confirmed_at + wait <= now &&
+           (!m_era_seen_at || *m_era_seen_at + wait <= now);
 }
 
 duration store_sync::confirmed_age(instant now) const {
--- a/proxy/store_sync.h
+++ b/proxy/store_sync.h
@@ -45,8 +45,11 @@
     /// True when all hosts that may use primaries are known and know this one, and their
     /// reachability reports are up to date.
     [[nodiscard]] bool can_replace_primaries(instant now) const;
-    /// True once every host that was removed before this one started has stopped using primaries.
+    /// True once every host has stopped using primaries that was removed before this one started or
+    /// that the store has lost with an earlier era.
     [[nodiscard]] bool knows_removed_hosts(instant now) const;
+    /// True if this process has read records of an earlier era of the store.
+    [[nodiscard]] bool has_seen_earlier_era() const { return m_has_seen_earlier_era; }
     /// Time since the store last confirmed the records that are known here.
     [[nodiscard]] duration confirmed_age(instant now) const;
     /// True when this incarnation of the host is registered, and all changes up to its registration
@@ -74,6 +77,7 @@
     void acknowledge_changes();
 
 private:
+    void on_new_era(store_era era);
     void run_watch();
     bool watch_once();
     void run_confirm();
@@ -115,7 +119,9 @@
     std::optional<instant> m_behind_since;
     std::optional<instant> m_first_confirmed_at;
     std::optional<instant> m_store_answering_since;  ///< End of the last outage.
-    bool m_was_registered = false;                   ///< By an earlier process of this host.
+    std::optional<instant> m_era_seen_at;            ///< First answer of the present era.
+    bool m_has_seen_earlier_era = false;
+    bool m_was_registered = false;  ///< By an earlier process of this host.
     std::optional<instant> m_confirmed_at;
     std::optional<instant> m_confirm_sent_at;  ///< Of a confirmation that is not answered yet.
     duration m_confirm_took;                   ///< Answer time of the last confirmation.
@@ -123,6 +129,7 @@
     /// Version of the mirror's hosts copied into `m_confirmed_hosts`; empty after a listing.
     std::optional<std::uint64_t> m_confirmed_hosts_version;
     platform::lease_id m_keep_alive_lease = platform::no_lease;
+    store_era m_keep_alive_era = 0;  ///< Era in which the lease was granted.
     bool m_registered = false;
     bool m_store_lost = false;
     bool m_stopped = false;
--- a/proxy/store_sync_registration.cc
+++ b/proxy/store_sync_registration.cc
@@ -43,6 +43,10 @@
 }
 
 bool store_sync::keep_alive() {
+    // The store may have given the number of a lost lease to another host.
+    if (m_keep_alive_era != m_store.era()) {
+        m_keep_alive_lease = platform::no_lease;
+    }
     if (m_keep_alive_lease != platform::no_lease) {
         const auto fault = m_store.renew_lease(m_keep_alive_lease, call_deadline());
         if (fault == platform::store_fault::not_found) {
@@ -54,12 +58,14 @@
     if (!granted) {
         return false;
     }
+    const store_era era = m_store.era();
     platform::store_transaction transaction;
     transaction.updates.push_back({alive_key(m_self), "{}", *granted.value});
     if (!m_store.commit(transaction, call_deadline())) {
         return false;
     }
     m_keep_alive_lease = *granted.value;
+    m_keep_alive_era = era;
     return true;
 }
 
@@ -94,7 +100,7 @@
 /// Registers this process, together with its first lease if the store grants one.
 void store_sync::register_with_lease() {
     detect_earlier_registration();
-    if (m_keep_alive_lease != platform::no_lease) {
+    if (m_keep_alive_lease != platform::no_lease && m_keep_alive_era == m_store.era()) {
         register_host();
         return;
     }
@@ -103,8 +109,10 @@
         register_host();
         return;
     }
+    const store_era era = m_store.era();
     if (register_host(platform::key_update{alive_key(m_self), "{}", *granted.value})) {
         m_keep_alive_lease = *granted.value;
+        m_keep_alive_era = era;
     }
 }
 
@@ -136,7 +144,7 @@
         log_line{log_class::change, "host_registered"}
             .with("incarnation", m_own_record.incarnation)
             .with("unreachable_endpoints", m_own_record.unreachable.size())
-            .with("revision", *result.value)
+            .with_revision("revision", *result.value)
             .write();
     }
     return result.value.has_value();
@@ -173,6 +181,7 @@
         return;
     }
     group_record record;
+    record.era = m_store.era();
     record.primary = primaries.front();
     record.term = answer.status->term;
     record.taken_over_at = answer.status->received;
@@ -220,7 +229,7 @@
     const auto result = m_store.commit(transaction, call_deadline());
     log_line{log_class::change, "primary_use_stopped"}
         .with("group", group)
-        .with("revision", revision)
+        .with_revision("revision", revision)
         .with("outcome", platform::to_string(result.fault))
         .write();
 }
--- a/src/lease_granters.cc
+++ b/src/lease_granters.cc
@@ -33,11 +33,15 @@
            store_age < max_time_on_grants - lease_length;
 }
 
-bool is_replacement_known(const granter_set& granters, duration known_for,
-                          const std::set<host_id>& acknowledged) {
+bool is_replacement_known(const granter_set& granters, std::span<const std::set<host_id>> lost,
+                          duration known_for, const std::set<host_id>& acknowledged) {
+    const auto has_quorum = [&acknowledged](const std::set<host_id>& members) {
+        return has_replacement_quorum(members, acknowledged);
+    };
     const bool is_settled = known_for >= max_time_on_grants;
-    return has_replacement_quorum(granters.members, acknowledged) &&
-           (is_settled || has_replacement_quorum(granters.previous, acknowledged));
+    return has_quorum(granters.members) &&
+           (is_settled ||
+            (has_quorum(granters.previous) && std::all_of(lost.begin(), lost.end(), has_quorum)));
 }
 
 std::set<host_id> choose_granters(std::span<const host_placement> hosts) {
--- a/src/primary_lease.cc
+++ b/src/primary_lease.cc
@@ -1,5 +1,8 @@
 #include "jasminelead/primary_lease.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace jasminelead {
 
 void primary_lease::confirm(instant sent) {
@@ -13,10 +16,20 @@
     if (record.revision <= known.revision) {
         return false;
     }
-    known = record;
+    advance_era(era_of(record.revision));
+    const group_record before = std::exchange(known, record);
+    if (is_outdated(known) && before.term > known.term) {
+        // An endpoint that leads in a lower term was replaced, whatever the store has lost.
+        known.term = before.term;
+        known.taken_over_at = before.taken_over_at;
+    }
     return true;
 }
 
+void primary_lease::advance_era(store_era era) {
+    m_era = std::max(m_era, era);
+}
+
 void primary_lease::revoke() {
     m_confirmed.reset();
 }
@@ -32,8 +45,8 @@
 
 std::optional<primary_permit> primary_lease::permit(const group_id& group, instant now) const {
     const group_record* const known = record(group);
-    const bool led = known != nullptr && known->phase == leadership_phase::led;
-    if (!led || !is_current(now)) {
+    const bool is_led = known != nullptr && known->phase == leadership_phase::led;
+    if (!is_led || is_outdated(*known) || !is_current(now)) {
         return std::nullopt;
     }
     return primary_permit{known->primary, known->revision};
--- a/support/session_platform.cc
+++ b/support/session_platform.cc
@@ -6,6 +6,7 @@
 #include <boost/json/serialize.hpp>
 #include <boost/url/parse.hpp>
 #include <chrono>
+#include <utility>
 
 namespace jasminelead::support {
 namespace {
@@ -40,6 +41,17 @@
     return found == url->params().end() ? std::string{} : std::string{(*found).value};
 }
 
+/// Inserts a header line after the status line.
+std::string with_header(std::string reply, std::string_view header) {
+    const std::size_t end = reply.find("\r\n");
+    return end == std::string::npos ? reply
+                                    : reply.insert(end + 2, std::string{header}.append("\r\n"));
+}
+
+bool is_foreign(const std::string& key) {
+    return key.starts_with("op/") || key.starts_with("servers/");
+}
+
 std::string ok(const json::value& body) {
     return http_reply(200, json::serialize(body));
 }
@@ -71,7 +83,38 @@
     return found == m_items.end() ? std::nullopt : std::optional{found->second.value};
 }
 
+void session_platform::keep_copy() {
+    const std::lock_guard lock{m_lock};
+    m_copy = m_items;
+    m_copy_revision = m_revision;
+}
+
+void session_platform::restore_copy() {
+    const std::lock_guard lock{m_lock};
+    const auto before = std::exchange(m_items, m_copy);
+    std::erase_if(m_items, [](const auto& entry) { return entry.second.lease != 0; });
+    m_deleted.clear();
+    m_revision = m_copy_revision;
+    ++m_era;
+    for (const auto& [key, entry] : before) {
+        const auto found = m_items.find(key);
+        const bool is_same = found != m_items.end() && found->second.value == entry.value;
+        if (is_foreign(key) && !is_same) {
+            m_items[key] = {entry.value, ++m_revision, 0};
+        }
+    }
+    m_changed.notify_all();
+}
+
+/// A store that has never returned from a copy sends no era.
 std::string session_platform::answer(std::string_view target, const std::string& body) {
+    std::string reply = execute(target, body);
+    const std::lock_guard lock{m_lock};
+    return m_era == 0 ? reply
+                      : with_header(std::move(reply), "Store-Era: " + std::to_string(m_era));
+}
+
+std::string session_platform::execute(std::string_view target, const std::string& body) {
     if (!m_available) {
         return http_reply(503, "{}");
     }
@@ -130,6 +173,9 @@
     constexpr std::chrono::milliseconds max_watch_wait{200};
     const std::uint64_t after = std::stoull("0" + parameter(target, "after"));
     std::unique_lock lock{m_lock};
+    if (after > m_revision) {
+        return http_reply(410, "{}");
+    }
     m_changed.wait_for(lock, max_watch_wait, [&] { return m_revision > after; });
     json::array events;
     for (const auto& [key, entry] : m_items) {
--- a/support/session_platform.h
+++ b/support/session_platform.h
@@ -22,6 +22,11 @@
     void put(const std::string& key, const std::string& value);
     void remove(const std::string& key);
     [[nodiscard]] std::optional<std::string> value(const std::string& key);
+    /// Keeps a copy of what the store holds now.
+    void keep_copy();
+    /// The store returns from the copy and begins a new era. What was written since is lost, leases
+    /// too; then the operator and the endpoints write again what they had written.
+    void restore_copy();
     /// While unavailable, every call returns status 503.
     void set_available(bool available) { m_available = available; }
     /// The callback receives the group and endpoint of each promotion.
@@ -39,6 +44,7 @@
     };
 
     std::string answer(std::string_view target, const std::string& body);
+    std::string execute(std::string_view target, const std::string& body);
     std::string read_key(std::string_view target);
     std::string read_range(std::string_view target);
     std::string watch(std::string_view target);
@@ -49,6 +55,9 @@
     std::condition_variable m_changed;
     std::map<std::string, item> m_items;
     std::map<std::string, std::uint64_t> m_deleted;
+    std::map<std::string, item> m_copy;
+    std::uint64_t m_copy_revision = 0;
+    std::uint64_t m_era = 0;
     std::uint64_t m_revision = 1;
     std::uint64_t m_next_lease = 1;
     std::atomic<bool> m_available = true;
--- a/test/lease_granters_test.cc
+++ b/test/lease_granters_test.cc
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "jasminelead/fleet_quorum.h"
+#include "jasminelead/store_revision.h"
 
 using namespace jasminelead;
 using namespace jasminelead::literals;
@@ -59,9 +60,9 @@
 // Guards against a host that relies on granters which were replaced a moment ago.
 TEST_CASE("a replacement asks the previous granters until all hosts know the new ones") {
     const granter_set granters{2, hosts({1, 2, 3}), hosts({4, 5, 6})};
-    CHECK_FALSE(is_replacement_known(granters, 1_s, hosts({1, 2})));
-    CHECK(is_replacement_known(granters, 1_s, hosts({1, 2, 4, 5})));
-    CHECK(is_replacement_known(granters, max_time_on_grants, hosts({1, 2})));
+    CHECK_FALSE(is_replacement_known(granters, {}, 1_s, hosts({1, 2})));
+    CHECK(is_replacement_known(granters, {}, 1_s, hosts({1, 2, 4, 5})));
+    CHECK(is_replacement_known(granters, {}, max_time_on_grants, hosts({1, 2})));
     CHECK_FALSE(may_change_granters(granters, 1_s));
     CHECK(may_change_granters(granters, max_time_on_grants));
     CHECK(may_change_granters(std::nullopt, 0_s));
@@ -188,7 +189,7 @@
         // With the rule off, the replacing host asks one host that is no granter of the others.
         const auto members = m_rules.asks_previous_granters ? hosts({0, 1, 2}) : hosts({});
         const bool is_known = m_rules.overlapping_quorums
-                                  ? is_replacement_known({1, hosts({9}), members}, 0_s,
+                                  ? is_replacement_known({1, hosts({9}), members}, {}, 0_s,
                                                          with_new_granter(acknowledged))
                                   : !acknowledged.empty();
         if (state.known_since < 0 && is_known) {
@@ -279,3 +280,14 @@
     CHECK(is_violated_without(&rules::asks_previous_granters));
     CHECK(is_violated_without(&rules::bounds_time_on_grants));
 }
+
+// Guards against a host that relies on granters whose record the store has lost: the hosts that
+// read the older copy would not ask them.
+TEST_CASE(
+    "a replacement asks granters that the store has lost, as long as hosts may rely on them") {
+    const granter_set restored{revision_in_era(1, 2), hosts({1, 2, 3}), hosts({})};
+    const std::vector lost{hosts({7, 8, 9})};
+    CHECK_FALSE(is_replacement_known(restored, lost, 1_s, hosts({1, 2})));
+    CHECK(is_replacement_known(restored, lost, 1_s, hosts({1, 2, 8, 9})));
+    CHECK(is_replacement_known(restored, lost, max_time_on_grants, hosts({1, 2})));
+}
--- a/test/malformed_messages_test.cc
+++ b/test/malformed_messages_test.cc
@@ -28,7 +28,7 @@
 
 std::string valid_peer_request() {
     return encode_peer_request(
-        {host_id{"h1"}, 17, 99, {endpoint_id{"a"}}, {{group_id{"shows"}, 5}}, 250_ms});
+        {host_id{"h1"}, 17, 0, 99, {endpoint_id{"a"}}, {{group_id{"shows"}, 5}}, 250_ms});
 }
 
 std::string valid_peer_response() {
--- a/test/own_records_test.cc
+++ b/test/own_records_test.cc
@@ -66,8 +66,8 @@
 }
 
 TEST_CASE("peer messages round-trip through encoding") {
-    const peer_request request{host_id{"h1"}, 17, 99, {endpoint_id{"a"}}, {{group_id{"shows"}, 5}},
-                               250_ms};
+    const peer_request request{
+        host_id{"h1"}, 17, 0, 99, {endpoint_id{"a"}}, {{group_id{"shows"}, 5}}, 250_ms};
     const auto decoded_request = decode_peer_request(encode_peer_request(request));
     REQUIRE(decoded_request);
     CHECK(decoded_request->known == 99);
@@ -96,3 +96,48 @@
     CHECK_FALSE(decode_peer_request("[]"));
     CHECK_FALSE(decode_peer_response("{}"));
 }
+
+// Guards against a restored record that counts as written in the present era.
+TEST_CASE("a group record states its era, and none if an earlier build wrote it") {
+    group_record record;
+    record.era = 3;
+    const auto decoded = decode_group_record(encode_group_record(record));
+    REQUIRE(decoded);
+    CHECK(decoded->era == 3);
+    const auto earlier = decode_group_record(
+        R"({"phase":"led","primary":"a","successor":"","changed_by":"h1","incarnation":1,)"
+        R"("term":4,"taken_over_term":4,"taken_over_position":1})");
+    REQUIRE(earlier);
+    CHECK(earlier->era == 0);
+}
+
+// Guards against hosts that take a revision of an earlier era for one of the present era, and
+// against builds without eras that read a number which they do not know.
+TEST_CASE("peer messages carry the eras of revisions") {
+    const group_id shows{"shows"};
+    peer_request request;
+    request.host = host_id{"h1"};
+    request.era = 2;
+    request.known = revision_in_era(2, 8);
+    request.stopped_use = {{shows, revision_in_era(1, 5)}};
+    const std::string request_text = encode_peer_request(request);
+    CHECK(request_text.find(R"("known":8)") != std::string::npos);
+    const auto decoded_request = decode_peer_request(request_text);
+    REQUIRE(decoded_request);
+    CHECK(decoded_request->era == 2);
+    CHECK(decoded_request->known == request.known);
+    CHECK(decoded_request->stopped_use == request.stopped_use);
+    peer_response response;
+    response.era = 2;
+    response.complete_up_to = revision_in_era(2, 9);
+    response.changes = {{"k", revision_in_era(2, 7), "v"}, {"old", 900, "v"}};
+    response.group_revisions = {{shows, revision_in_era(2, 6)}, {group_id{"awards"}, 4}};
+    const auto decoded = decode_peer_response(encode_peer_response(response));
+    REQUIRE(decoded);
+    CHECK(decoded->era == 2);
+    CHECK(decoded->complete_up_to == response.complete_up_to);
+    REQUIRE(decoded->changes.size() == 2);
+    CHECK(decoded->changes[0].revision == response.changes[0].revision);
+    CHECK(decoded->changes[1].revision == 900);
+    CHECK(decoded->group_revisions == response.group_revisions);
+}
--- a/test/platform_store_client_test.cc
+++ b/test/platform_store_client_test.cc
@@ -2,6 +2,8 @@
 #include <chrono>
 #include <future>
 #include <map>
+#include <mutex>
+#include <vector>
 
 #include "daemon/worker.h"
 #include "platform/store_client.h"
@@ -27,10 +29,44 @@
 
 public:
     explicit store_fixture(std::string body)
-        : m_server{[body = std::move(body)](std::string_view, const std::string&) {
-              return support::http_reply(200, body);
+        : m_server{[this, body = std::move(body)](std::string_view target,
+                                                  const std::string& sent) {
+              const std::lock_guard lock{m_lock};
+              m_targets.emplace_back(target);
+              m_last_body = sent;
+              std::string reply = support::http_reply(m_status, body);
+              return m_era.empty()
+                         ? reply
+                         : reply.insert(reply.find("\r\n") + 2, "Store-Era: " + m_era + "\r\n");
           }},
-          m_client{m_worker.io(), m_server.address(), m_counters} {}
+          m_client{m_worker.io(), m_server.address(), m_counters} {
+        m_client.on_new_era([this](store_era era) { m_eras.push_back(era); });
+    }
+
+    /// Later answers have this status and state this era, or none if it is empty.
+    void set_era(const std::string& era, int status = 200) {
+        const std::lock_guard lock{m_lock};
+        m_era = era;
+        m_status = status;
+    }
+    platform::store_result<revision_number> commit(revision_number condition) {
+        platform::store_transaction transaction;
+        transaction.conditions.push_back({"k", condition});
+        return run([&] { return m_client.commit(transaction, deadline()); });
+    }
+    platform::store_result<platform::store_changes> watch_after(revision_number revision) {
+        return run([&] { return m_client.watch("", revision, 0, deadline()); });
+    }
+    std::string last_body() {
+        const std::lock_guard lock{m_lock};
+        return m_last_body;
+    }
+    std::vector<std::string> targets() {
+        const std::lock_guard lock{m_lock};
+        return m_targets;
+    }
+    /// Eras that the client has reported.
+    [[nodiscard]] const std::vector<store_era>& eras() const { return m_eras; }
 
     platform::store_result<platform::store_listing> list() {
         return run([this] { return m_client.list("", "", deadline()); });
@@ -52,6 +88,12 @@
     store_fixture& operator=(store_fixture&&) = delete;
 
 private:
+    std::mutex m_lock;
+    std::string m_era;
+    int m_status = 200;
+    std::vector<std::string> m_targets;
+    std::string m_last_body;
+    std::vector<store_era> m_eras;
     support::scripted_server m_server;
     daemon::metrics m_counters;
     daemon::worker m_worker;
@@ -151,3 +193,59 @@
         CHECK(store.list().fault == platform::store_fault::malformed);
     }
 }
+
+// Guards against revisions of different eras that compare as if the store had only one.
+TEST_CASE("revisions contain the era that the store states", "[era]") {
+    store_fixture store{
+        R"({"items":[{"key":"k","value":"","rev":7}],"truncated":false,"storeRevision":9})"};
+    CHECK(store.list().value->items.front().revision == 7);
+    store.set_era("2");
+    const auto listing = store.list();
+    REQUIRE(listing);
+    CHECK(listing.value->items.front().revision == revision_in_era(2, 7));
+    CHECK(listing.value->revision == revision_in_era(2, 9));
+    CHECK(store.eras() == std::vector<store_era>{2});
+}
+
+// Guards against an answer that was sent before the store returned from a copy and arrives after
+// one of the new era: it would confirm what the store has lost.
+TEST_CASE("an answer of an earlier era is refused", "[era]") {
+    store_fixture store{R"({"items":[],"truncated":false,"storeRevision":9})"};
+    store.set_era("2");
+    REQUIRE(store.list());
+    store.set_era("1");
+    CHECK(store.list().fault == platform::store_fault::old_era);
+    store.set_era("");
+    CHECK(store.list().fault == platform::store_fault::old_era);
+}
+
+// Guards against a host that learns of the new era only from its first success: a watch from a
+// position that the store does not have any more is refused.
+TEST_CASE("an answer without success states the era as well", "[era]") {
+    store_fixture store{"{}"};
+    store.set_era("3", 410);
+    CHECK(store.watch().fault == platform::store_fault::history_lost);
+    CHECK(store.eras() == std::vector<store_era>{3});
+}
+
+// Guards against a condition that holds by accident: the store gives a lost revision to another
+// change of the key.
+TEST_CASE("a condition of an earlier era fails without a call", "[era]") {
+    store_fixture store{R"({"rev":12,"items":[],"storeRevision":12})"};
+    store.set_era("1");
+    REQUIRE(store.list());
+    const std::size_t calls = store.targets().size();
+    CHECK(store.commit(7).fault == platform::store_fault::condition);
+    CHECK(store.targets().size() == calls);
+    const auto written = store.commit(revision_in_era(1, 7));
+    REQUIRE(written);
+    CHECK(*written.value == revision_in_era(1, 12));
+    CHECK(store.last_body().find(R"("rev":7)") != std::string::npos);
+    CHECK(store.commit(0));
+}
+
+TEST_CASE("a watch names the position as the store counts it", "[era]") {
+    store_fixture store{R"({"events":[],"storeRevision":12})"};
+    store.watch_after(revision_in_era(1, 7));
+    CHECK(store.targets().back().find("after=7&") != std::string::npos);
+}
--- a/test/primary_lease_test.cc
+++ b/test/primary_lease_test.cc
@@ -66,3 +66,52 @@
     lease.revoke();
     CHECK_FALSE(lease.permit(shows, start));
 }
+
+// Guards against a primary in use that the store names only because it has lost the record of its
+// successor.
+TEST_CASE("a record of an earlier era permits no use until it is written again") {
+    primary_lease lease{2_s};
+    lease.apply(shows, led_by("c", 900));
+    lease.confirm(start);
+    REQUIRE(lease.permit(shows, start));
+    lease.apply(shows, led_by("a", revision_in_era(1, 700)));
+    CHECK(lease.is_outdated(*lease.record(shows)));
+    CHECK_FALSE(lease.permit(shows, start));
+    group_record confirmed = led_by("c", revision_in_era(1, 701));
+    confirmed.era = 1;
+    lease.apply(shows, confirmed);
+    REQUIRE(lease.permit(shows, start));
+    CHECK(lease.permit(shows, start)->primary == endpoint_id{"c"});
+}
+
+// Guards against the use of a primary whose record the older copy does not contain at all.
+TEST_CASE("a new era ends the use of primaries whose records it has not shown") {
+    primary_lease lease{2_s};
+    lease.apply(shows, led_by("a", 900));
+    lease.confirm(start);
+    lease.advance_era(1);
+    CHECK_FALSE(lease.permit(shows, start));
+    lease.advance_era(0);
+    CHECK(lease.era() == 1);
+}
+
+// Guards against an endpoint that was replaced and counts as the leader again, because the restored
+// record states a lower term than the lost one.
+TEST_CASE("a restored record keeps the highest known term") {
+    primary_lease lease{2_s};
+    group_record lost = led_by("c", 900);
+    lost.term = 5;
+    lost.taken_over_at = {4, 77};
+    lease.apply(shows, lost);
+    group_record restored = led_by("a", revision_in_era(1, 700));
+    restored.term = 4;
+    lease.apply(shows, restored);
+    CHECK(lease.record(shows)->term == 5);
+    CHECK(lease.record(shows)->taken_over_at == log_point{4, 77});
+    // Endpoints that lost their logs may count terms anew; a host of this era has asked them.
+    group_record written = led_by("a", revision_in_era(1, 701));
+    written.era = 1;
+    written.term = 2;
+    lease.apply(shows, written);
+    CHECK(lease.record(shows)->term == 2);
+}
--- a/test/record_mirror_test.cc
+++ b/test/record_mirror_test.cc
@@ -1,8 +1,11 @@
 #include "proxy/record_mirror.h"
 
+#include <rapidcheck.h>
+
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <chrono>
+#include <numeric>
 #include <thread>
 
 #include "odd_entries.h"
@@ -212,3 +215,71 @@
                                "lease_us":1500000})"});
     CHECK(f.mirror.hosts().size() == 1);
 }
+
+// Guards against a configuration that no host follows after the store has returned from an older
+// copy: its revision is below the one of the lost configuration.
+TEST_CASE("a change of a later era is newer than all of an earlier one") {
+    mirror_fixture f;
+    f.mirror.apply({"servers/a", 900, endpoint_value("ready")});
+    f.mirror.advance_complete_up_to(900);
+    f.mirror.apply({"servers/a", revision_in_era(1, 700), endpoint_value("draining")});
+    f.mirror.apply({"servers/b", revision_in_era(1, 5), endpoint_value("ready")});
+    CHECK(f.lists("b"));
+    // A host that still knows only the earlier era forwards what the store has lost.
+    f.mirror.apply({"servers/a", 950, endpoint_value("ready")});
+    const auto changes = f.mirror.changes_since(950);
+    REQUIRE(changes.size() == 2);
+    CHECK(changes[1].value == endpoint_value("draining"));
+}
+
+// Guards against a host or an endpoint that the store has lost and that stays in use, because its
+// last revision is above that of the listing.
+TEST_CASE("a listing of a later era deletes what it does not contain") {
+    mirror_fixture f;
+    f.mirror.apply({"servers/a", 900, endpoint_value()});
+    f.mirror.complete_listing({}, revision_in_era(1, 700));
+    CHECK(f.forwards_deletion("servers/a", 900));
+    CHECK(f.mirror.stored_revision("servers/a") == 0);
+}
+
+// Guards against hosts that stay apart after the store has returned from a copy: they hear of the
+// eras in different orders, from the store and from hosts that know less.
+TEST_CASE("mirrors that have received the same changes in any order hold the same records") {
+    const bool holds = rc::check("order of arrival over eras", [] {
+        const auto count = *rc::gen::inRange<std::size_t>(1, 30);
+        std::vector<platform::store_change> changes;
+        for (std::size_t i = 0; i < count; ++i) {
+            const auto era = *rc::gen::inRange<store_era>(0, 3);
+            const std::string key = "servers/e" + std::to_string(*rc::gen::inRange(0, 4));
+            // The store gives one revision to one change of an era.
+            const revision_number revision = revision_in_era(era, i + 1);
+            const bool is_deleted = *rc::gen::inRange(0, 4) == 0;
+            changes.push_back(
+                {key, revision, is_deleted ? std::nullopt : std::optional{endpoint_value()}});
+        }
+        const auto shuffled = *rc::gen::map(
+            rc::gen::container<std::vector<int>>(count, rc::gen::inRange(0, 1000)),
+            [&changes](const std::vector<int>& ranks) {
+                std::vector<std::size_t> order(changes.size());
+                std::iota(order.begin(), order.end(), std::size_t{0});
+                std::stable_sort(order.begin(), order.end(),
+                                 [&](std::size_t a, std::size_t b) { return ranks[a] < ranks[b]; });
+                return order;
+            });
+        mirror_fixture in_order;
+        mirror_fixture out_of_order;
+        for (const auto& change : changes) {
+            in_order.mirror.apply(change);
+        }
+        for (const std::size_t i : shuffled) {
+            out_of_order.mirror.apply(changes[i]);
+        }
+        for (int i = 0; i < 4; ++i) {
+            const std::string key = "servers/e" + std::to_string(i);
+            RC_ASSERT(in_order.mirror.stored_revision(key) ==
+                      out_of_order.mirror.stored_revision(key));
+        }
+        RC_ASSERT(in_order.mirror.revision() == out_of_order.mirror.revision());
+    });
+    CHECK(holds);
+}
--- a/test/session_fleet.h
+++ b/test/session_fleet.h
@@ -170,6 +170,11 @@
         return m_group->unpromoted_commits;
     }
 
+    /// Starts one more host, which need not be able to serve yet. Returns its index.
+    std::size_t add_host() {
+        start_host(static_cast<int>(m_daemons.size()));
+        return m_daemons.size() - 1;
+    }
     [[nodiscard]] std::uint16_t port(std::size_t host = 0) const { return m_daemons[host]->port(); }
     /// Where a host answers the requests of other hosts.
     [[nodiscard]] const std::string& peer_address(std::size_t host = 0) const {
