List all keys again when a watch is answered in a later era

Left was the watch: its position is from the earlier era, and once the store has counted beyond it, changes between the copy and the position are passed over without a 410.

Change: a watch that is answered in another era than that of its position counts as one with lost history, and a confirmation that shows a new era lists all keys at once. The pages of a listing must be of one era. Ruled out: relying on the 410, which the store gives only while its revision is lower.

--- a/proxy/store_sync.cc
+++ b/proxy/store_sync.cc
@@ -222,6 +222,11 @@
     const bool behind = m_watched_revision && *m_watched_revision < store_revision;
     if (!behind) {
         m_behind_since.reset();
+    } else if (era_of(*m_watched_revision) != era_of(store_revision)) {
+        // The watch does not deliver the changes between the copy and its own position.
+        m_counters.count("watch_faults", "new_era");
+        m_behind_since.reset();
+        load();
     } else if (!m_behind_since) {
         m_behind_since = sent;
     } else if (*m_behind_since + watch_lag_timeout <= sent) {
--- a/proxy/store_sync.h
+++ b/proxy/store_sync.h
@@ -83,7 +83,7 @@
     void run_confirm();
     bool on_fleet_listed(std::span<const platform::store_item> items, instant sent);
     bool load();
-    bool load_following_pages(std::string last, std::set<std::string>& seen);
+    bool load_following_pages(revision_number first, std::string last, std::set<std::string>& seen);
     void apply_page(const platform::store_listing& page, std::set<std::string>& seen);
     void on_confirmed(instant sent);
     void check_watch(revision_number store_revision, instant sent);
--- a/proxy/store_sync_watch.cc
+++ b/proxy/store_sync_watch.cc
@@ -61,6 +61,12 @@
         }
         return result.fault == platform::store_fault::history_lost;
     }
+    if (era_of(result.value->revision) != era_of(*m_watched_revision)) {
+        // The changes between the copy and the position of the watch are missing.
+        m_counters.count("watch_faults", "new_era");
+        m_watched_revision.reset();
+        return true;
+    }
     for (const platform::store_change& change : result.value->changes) {
         m_mirror.apply(change);
     }
@@ -91,7 +97,7 @@
     apply_page(*first.value, seen);
     if (first.value->is_complete || first.value->items.empty()) {
         on_fleet_listed(first.value->items, sent);
-    } else if (!load_following_pages(first.value->items.back().key, seen)) {
+    } else if (!load_following_pages(from, first.value->items.back().key, seen)) {
         return false;
     }
     m_mirror.complete_listing(seen, from);
@@ -110,10 +116,12 @@
     }
 }
 
-bool store_sync::load_following_pages(std::string last, std::set<std::string>& seen) {
+/// `first` is the revision of the first page. Pages of different eras are no listing.
+bool store_sync::load_following_pages(revision_number first, std::string last,
+                                      std::set<std::string>& seen) {
     for (;;) {
         const auto page = m_store.list(all_keys, last, call_deadline());
-        if (!page) {
+        if (!page || era_of(page.value->revision) != era_of(first)) {
             return false;
         }
         apply_page(*page.value, seen);
--- a/test/store_era_test.cc
+++ b/test/store_era_test.cc
@@ -38,6 +38,26 @@
                        [](const std::string& answer) { return !is_by(answer, "i-a"); });
 }
 
+/// Routes of a test, and `late` in addition.
+std::string config_with_late_route(int version) {
+    std::string text = config_text(version);
+    const std::string first = R"("routes":[)";
+    return text.insert(text.find(first) + first.size(),
+                       R"({"name":"r3","host":"late","type":"primary","timeoutMs":1500,)"
+                       R"("goalMs":150,"priority":1,"service":"shows"},)");
+}
+
+bool is_served(std::uint16_t port, const std::string& database, std::chrono::milliseconds limit) {
+    const auto end = std::chrono::steady_clock::now() + limit;
+    while (std::chrono::steady_clock::now() < end) {
+        if (caller{port, database}.first() == "READY I -|") {
+            return true;
+        }
+        std::this_thread::sleep_for(20ms);
+    }
+    return false;
+}
+
 }  // namespace
 
 // Guards against two primaries in use after the store has returned from an older copy: a host that
@@ -76,3 +96,37 @@
     CHECK(answer.starts_with("DONE"));
     CHECK(all.unpromoted_commits() == 0);
 }
+
+// Guards against a configuration that no host follows because its revision is below a lost one.
+TEST_CASE("a configuration written after the store has returned from a copy is applied") {
+    fleet all;
+    all.platform().keep_copy();
+    for (int version = 4; version < 40; ++version) {
+        all.platform().put("op/config", config_text(version));
+    }
+    std::this_thread::sleep_for(500ms);
+    all.platform().restore_copy();
+    std::this_thread::sleep_for(1000ms);
+    all.platform().put("op/config", config_with_late_route(50));
+    CHECK(is_served(all.port(), "late", 3000ms));
+}
+
+// Guards against changes that a watch passes over: its position is from an earlier era, and the
+// store has counted beyond it before it answers again.
+TEST_CASE("a configuration below the position of an earlier watch is applied") {
+    fleet all;
+    all.platform().keep_copy();
+    for (int version = 4; version < 40; ++version) {
+        all.platform().put("op/config", config_text(version));
+    }
+    std::this_thread::sleep_for(500ms);
+    all.platform().set_available(false);
+    std::this_thread::sleep_for(300ms);
+    all.platform().restore_copy();
+    all.platform().put("op/config", config_with_late_route(50));
+    for (int i = 0; i < 100; ++i) {
+        all.platform().put("op/notes", "{}");
+    }
+    all.platform().set_available(true);
+    CHECK(is_served(all.port(), "late", 3000ms));
+}
