Start no replacement on a host that is stopping

Cause: a host that had received SIGTERM went on to replace primaries.

Change: from SIGTERM on a host starts no replacement; hosts that go on start it in the usual order. Those in progress go on. Ruled out: giving the order of hosts a place for stopping ones, as an host that stops cannot know that it has the time.

--- a/proxy/failover_agent.cc
+++ b/proxy/failover_agent.cc
@@ -50,7 +50,7 @@
 
 void failover_agent::check_groups() {
     record_changes();
-    if (m_promotion_address.empty()) {
+    if (m_promotion_address.empty() || m_stopping) {
         return;
     }
     // Without a recent answer of the store, the known reachability reports are outdated.
--- a/proxy/failover_agent.h
+++ b/proxy/failover_agent.h
@@ -29,6 +29,9 @@
 
     void start();
     void set_promotion_address(const std::string& address) { m_promotion_address = address; }
+    /// From now on this host starts no replacement: it may end before it has finished one. Those in
+    /// progress go on.
+    void begin_stop() { m_stopping = true; }
     void stop() { m_stopped = true; }
 
 private:
@@ -123,6 +126,7 @@
     pending_promotions m_pending;
     /// When a replacement became due, by group and revision of its record.
     std::map<std::pair<group_id, revision_number>, instant> m_due_since;
+    bool m_stopping = false;
     bool m_stopped = false;
 };
 
--- a/proxy/session_daemon.cc
+++ b/proxy/session_daemon.cc
@@ -264,6 +264,7 @@
     const instant begun = boot_now();
     log_line{log_class::change, "stopping"}.with("sessions", m_sessions.size()).write();
     m_gateway_server.begin_stop();
+    m_failover.begin_stop();
     log_readiness_change();
     const instant close_idle =
         begun + std::min(balancer_removal_time, m_settings.stop_grace * idle_close_fraction);
--- a/test/failover_agent_test.cc
+++ b/test/failover_agent_test.cc
@@ -6,6 +6,7 @@
 
 #include "session_fleet.h"
 
+using jasminelead::duration;
 using namespace jasminelead::test;
 using namespace std::chrono_literals;
 
@@ -120,3 +121,18 @@
     }
     CHECK(answer.starts_with("DONE"));
 }
+
+// Guards against a replacement that nobody finishes for seconds, because the host that began it
+// ends (rule LOST: callers of other hosts wait for the new primary meanwhile).
+TEST_CASE("a host that is stopping starts no replacement") {
+    fleet all{1, 8, duration::from_ms(5000)};
+    std::this_thread::sleep_for(replacement_allowed_after);
+    caller holder{all.port(), "pay"};
+    // The open transaction keeps the host running.
+    holder.query("BEGIN");
+    all.daemon().stop_gracefully();
+    all.list(all.endpoint(0), "primary", "draining");
+    std::this_thread::sleep_for(2300ms);
+    CHECK(all.promotions().empty());
+    CHECK(all.primary_record().find(R"("phase":"led")") != std::string::npos);
+}
--- a/test/session_fleet.h
+++ b/test/session_fleet.h
@@ -150,6 +150,10 @@
     void list_promotions() { m_lists_promotions = true; }
     /// Promotes an endpoint without a call of a host. Returns when the former primary has stopped.
     void promote_outside(const std::string& id) { promote(id); }
+    /// The group's record in the store.
+    [[nodiscard]] std::string primary_record() {
+        return m_platform.value("jasminelead/fleet/group/shows").value_or("");
+    }
     /// Endpoints of the promotion calls, in their order.
     [[nodiscard]] std::vector<std::string> promotions() {
         const std::lock_guard lock{m_group->lock};
