Finish replacements before a host ends, or announce that they are left

Cause: a stopping host waited for sessions and gateway calls only, so that it ended between a promotion and the record of the new primary. The other hosts took such a mark over 5 s later, also when the host that wrote it had ended in order.

What is left then is announced in the host's record, and no further promotion is sent. Others take the mark over at once if its host has announced this, has lost its registration (without which it cannot write), or has restarted. Ruled out: removing the registration at each stop, which would make a restarted host wait like a new one and move granters.

--- a/proxy/failover_agent.cc
+++ b/proxy/failover_agent.cc
@@ -21,8 +21,8 @@
 // exceeds the time within which the other daemon promotes, so that the other daemon no longer
 // promotes.
 constexpr duration takeover_delay = 5_s;
-// Lets a promotion complete that the previous process sent just before it ended.
-constexpr duration restart_delay = 300_ms;
+// Lets a promotion complete that a process sent just before it ended or gave up.
+constexpr duration abandoned_delay = 300_ms;
 // A changed role may be reported up to one heartbeat late.
 constexpr duration role_settle_time = 1_s;
 
@@ -114,7 +114,7 @@
     }
     duration delay = start_delay(group);
     if (changing) {
-        delay = delay + (has_restarted(record) ? restart_delay : takeover_delay);
+        delay = delay + (is_abandoned(record) ? abandoned_delay : takeover_delay);
     } else if (only_by_role) {
         delay = delay + role_settle_time;
     }
@@ -164,11 +164,17 @@
     return unreachable.contains(endpoint);
 }
 
-/// True when the process that wrote the record has ended and can send no further promotion.
-bool failover_agent::has_restarted(const group_record& record) const {
+/// True when the process that wrote the record sends no further promotion: it has announced its
+/// end, was followed by another one, or has lost its registration, without which it cannot write.
+bool failover_agent::is_abandoned(const group_record& record) const {
     const auto& hosts = m_sync.records().hosts();
     const auto found = hosts.find(record.changed_by);
-    return found != hosts.end() && found->second.incarnation != record.changed_by_incarnation;
+    if (found == hosts.end()) {
+        return false;
+    }
+    return found->second.incarnation != record.changed_by_incarnation ||
+           found->second.has_given_up_replacements ||
+           !m_sync.records().liveness().is_registered(record.changed_by);
 }
 
 std::vector<host_view> failover_agent::host_views(const group_id& group,
--- a/proxy/failover_agent.h
+++ b/proxy/failover_agent.h
@@ -32,6 +32,9 @@
     /// From now on this host starts no replacement: it may end before it has finished one. Those in
     /// progress go on.
     void begin_stop() { m_stopping = true; }
+    /// True while no replacement of this host is in progress.
+    [[nodiscard]] bool is_idle() const { return m_running.empty(); }
+    /// From now on replacements in progress send no promotion.
     void stop() { m_stopped = true; }
 
 private:
@@ -69,7 +72,7 @@
     [[nodiscard]] bool is_heard(const host_id& host) const;
     std::set<host_id> present_hosts() const;
     primary_health assess_primary(const group_id& group, const endpoint_id& primary) const;
-    [[nodiscard]] bool has_restarted(const group_record& record) const;
+    [[nodiscard]] bool is_abandoned(const group_record& record) const;
     /// Gateways of the group whose reachability reports count. Only gateways connect to its
     /// endpoints.
     std::set<host_id> voters(const group_id& group) const;
--- a/proxy/failover_agent_replacement.cc
+++ b/proxy/failover_agent_replacement.cc
@@ -145,7 +145,7 @@
 
 void failover_agent::replace(const group_id& group, replacement kind) {
     const instant give_up = boot_now() + replacement_timeout;
-    while (boot_now() < give_up) {
+    while (!m_stopped && boot_now() < give_up) {
         if (try_replace(group, kind)) {
             return;
         }
@@ -311,7 +311,7 @@
     const auto item =
         m_sync.store().get(group_key(current.group), to_steady(boot_now() + store_timeout));
     const bool still_marked = item && item.value->revision == current.record.revision;
-    if (!still_marked || boot_now() - current.marked_at > promotion_window) {
+    if (m_stopped || !still_marked || boot_now() - current.marked_at > promotion_window) {
         log_step(current, "promote", "mark_lost");
         return false;
     }
--- a/proxy/own_records.cc
+++ b/proxy/own_records.cc
@@ -141,14 +141,16 @@
     for (const endpoint_id& endpoint : record.unreachable) {
         unreachable.emplace_back(endpoint.str());
     }
-    return json::serialize(json::object{{"host", record.host.str()},
-                                        {"incarnation", record.incarnation},
-                                        {"peer", record.peer_address},
-                                        {"data_centre", record.data_centre.str()},
-                                        {"cpu_milli", cpu_milli(record.cpu_share)},
-                                        {"unreachable", std::move(unreachable)},
-                                        {"lease_us", record.lease_length.us()},
-                                        {"asks_granters", record.asks_granters}});
+    return json::serialize(
+        json::object{{"host", record.host.str()},
+                     {"incarnation", record.incarnation},
+                     {"peer", record.peer_address},
+                     {"data_centre", record.data_centre.str()},
+                     {"cpu_milli", cpu_milli(record.cpu_share)},
+                     {"unreachable", std::move(unreachable)},
+                     {"lease_us", record.lease_length.us()},
+                     {"asks_granters", record.asks_granters},
+                     {"given_up_replacements", record.has_given_up_replacements}});
 }
 
 std::optional<host_record> decode_host_record(std::string_view text) {
@@ -177,6 +179,7 @@
         }
     }
     record.asks_granters = flag_of(*object, "asks_granters");
+    record.has_given_up_replacements = flag_of(*object, "given_up_replacements");
     record.lease_length = duration_of(*object, "lease_us").value_or(unstated_lease_length);
     if (record.lease_length > max_lease_length) {
         return std::nullopt;
--- a/proxy/session_daemon.cc
+++ b/proxy/session_daemon.cc
@@ -271,7 +271,8 @@
     const instant end_transactions = begun + m_settings.stop_grace * transaction_end_fraction;
     const instant end = begun + m_settings.stop_grace * forced_close_fraction;
     const auto is_done = [&] {
-        return boot_now() >= close_idle && m_sessions.empty() && m_gateway_server.is_idle();
+        return boot_now() >= close_idle && m_sessions.empty() && m_gateway_server.is_idle() &&
+               m_failover.is_idle();
     };
     while (boot_now() < end && !is_done()) {
         const instant now = boot_now();
@@ -294,12 +295,15 @@
     for (const auto& item : m_sessions) {
         item->abort(session_end::grace_period_expired);
     }
+    m_failover.stop();
+    if (!m_failover.is_idle()) {
+        m_sync.announce_unfinished_replacements();
+    }
     close_listeners();
     m_sync.stop();
     m_peers.stop();
     m_granters.stop();
     m_follower.stop();
-    m_failover.stop();
     m_marks.stop();
     m_gateway_client.stop();
     m_gateway_server.stop();
--- a/proxy/store_sync.h
+++ b/proxy/store_sync.h
@@ -73,6 +73,9 @@
     }
     /// Confirms the lease of primaries: the known records were valid at some time after `at`.
     void confirm_lease(instant at);
+    /// Tells the other hosts that this one finishes none of its replacements, so that they need not
+    /// wait for it.
+    void announce_unfinished_replacements();
     /// Stops using primaries that are being replaced and acknowledges this in the store.
     void acknowledge_changes();
 
--- a/proxy/store_sync_registration.cc
+++ b/proxy/store_sync_registration.cc
@@ -97,6 +97,11 @@
     }
 }
 
+void store_sync::announce_unfinished_replacements() {
+    m_own_record.has_given_up_replacements = true;
+    register_host();
+}
+
 /// Registers this process, together with its first lease if the store grants one.
 void store_sync::register_with_lease() {
     detect_earlier_registration();
--- a/test/failover_agent_test.cc
+++ b/test/failover_agent_test.cc
@@ -136,3 +136,38 @@
     CHECK(all.promotions().empty());
     CHECK(all.primary_record().find(R"("phase":"led")") != std::string::npos);
 }
+
+// Guards against a group without a primary while another host waits for the one that has ended
+// between its promotion and the record.
+TEST_CASE("a host that is stopping finishes the replacement that it has begun") {
+    fleet all{1, 8, duration::from_ms(5000)};
+    std::this_thread::sleep_for(replacement_allowed_after);
+    all.delay_promotions(3000ms);
+    all.list(all.endpoint(0), "primary", "draining");
+    while (all.promotions().empty()) {
+        std::this_thread::sleep_for(10ms);
+    }
+    all.daemon().stop_gracefully();
+    all.daemon().wait_stopped();
+    CHECK(all.primary_record().find(R"("phase":"led")") != std::string::npos);
+    CHECK(all.primary_record().find("\"primary\":\"" + all.primary() + "\"") != std::string::npos);
+}
+
+// Guards against a group without a primary for the time after which the other hosts take over from
+// one that may still be at work (5 s).
+TEST_CASE("a replacement that a stopping host has to leave is taken over at once") {
+    fleet all{2, 8, duration::from_ms(400)};
+    std::this_thread::sleep_for(replacement_allowed_after);
+    all.delay_promotions(1500ms);
+    all.list(all.endpoint(0), "primary", "draining");
+    while (all.promotions().empty()) {
+        std::this_thread::sleep_for(10ms);
+    }
+    const bool is_first = all.primary_record().find(R"("changed_by":"h1")") != std::string::npos;
+    const std::size_t stopping = is_first ? 0 : 1;
+    all.daemon(stopping).stop_gracefully();
+    all.daemon(stopping).wait_stopped();
+    caller pay{all.port(1 - stopping), "pay"};
+    CHECK(write_until_replaced(pay, "i-a", 4500ms).starts_with("DONE"));
+    CHECK(all.unpromoted_commits() == 0);
+}
