Refuse statements that wait on a stopping host before their sessions end

Cause: at 85% of the grace period the sessions of a stopping host were closed, also those whose statement still waited and had been sent nowhere. "Not run" was true and was not said. A statement of another host that waited at a stopping gateway had an unknown outcome.

Change: the stop sets a limit for waits, 200 ms before the sessions end. A statement that waits for a primary, an endpoint or a place in an endpoint's queue is refused as not run then, and at once if the expected end of an outage is later. A gateway declines such a statement, so that the next one is asked. Ruled out: refusing all waiting statements from the SIGTERM on, as most replacements end within the grace period and a caller whose data centre has no other host would use up its retries.

--- a/proxy/endpoint_pool.cc
+++ b/proxy/endpoint_pool.cc
@@ -303,6 +303,10 @@
     refuse_waiters([](const waiter& turn) { return !turn.bound; }, why);
 }
 
+void endpoint_pool::refuse_waiting() {
+    refuse_waiters([](const waiter&) { return true; }, reason::deadline);
+}
+
 void endpoint_pool::refuse_removed_callers(const routing_config& config) {
     refuse_waiters([&config](const waiter& turn) { return !config.still_admits(turn.caller); },
                    reason::key_removed);
--- a/proxy/endpoint_pool.h
+++ b/proxy/endpoint_pool.h
@@ -88,6 +88,8 @@
     void update(const listed_endpoint& endpoint, const connection_limits& limits);
     /// Refuses the waiting statements of callers that the configuration no longer admits.
     void refuse_removed_callers(const routing_config& config);
+    /// Refuses all statements that wait for a slot or a connection.
+    void refuse_waiting();
     /// Stops accepting statements and closes connections as they become idle.
     void retire();
     /// Closes idle connections above this host's share.
--- a/proxy/gateway_server.cc
+++ b/proxy/gateway_server.cc
@@ -97,6 +97,8 @@
     }
     gateway_answer result;
     result.outcome = m_router.run(request.session, request.route, request.statement);
+    // It has waited here until the stop: another gateway can still run it.
+    result.declined = m_stopping && result.outcome.fault == statement_fault::busy;
     report_last_write(result, request);
     return result;
 }
@@ -119,6 +121,7 @@
         m_router.begin(request.session, request.route, request.statement, request.read_only);
     if (auto* const refusal = std::get_if<statement_outcome>(&opened)) {
         result.outcome = std::move(*refusal);
+        result.declined = m_stopping && result.outcome.fault == statement_fault::busy;
         return result;
     }
     auto& transaction = std::get<open_transaction>(opened);
--- a/proxy/session_daemon.cc
+++ b/proxy/session_daemon.cc
@@ -24,6 +24,9 @@
 constexpr double idle_close_fraction = 0.4;
 constexpr double transaction_end_fraction = 0.5;
 constexpr double forced_close_fraction = 0.85;
+// Between the refusal of waiting statements and the end of their sessions. Their answers are sent,
+// and those of the statements that have just started.
+constexpr duration refusal_margin = 200_ms;
 
 }  // namespace
 
@@ -270,6 +273,8 @@
         begun + std::min(balancer_removal_time, m_settings.stop_grace * idle_close_fraction);
     const instant end_transactions = begun + m_settings.stop_grace * transaction_end_fraction;
     const instant end = begun + m_settings.stop_grace * forced_close_fraction;
+    const instant end_waits = end - refusal_margin;
+    m_router.end_waits_at(end_waits);
     const auto is_done = [&] {
         return boot_now() >= close_idle && m_sessions.empty() && m_gateway_server.is_idle() &&
                m_failover.is_idle();
@@ -287,6 +292,9 @@
                 item->end_transaction();
             }
         }
+        if (now >= end_waits) {
+            m_router.refuse_waiting();
+        }
         if (now >= close_idle) {
             close_idle_sessions(session_end::stopping);
         }
--- a/proxy/statement_dispatcher.cc
+++ b/proxy/statement_dispatcher.cc
@@ -66,7 +66,8 @@
 /// lasting effect: reads, and begins of transactions.
 statement_dispatcher::relay_result statement_dispatcher::relay(gateway_request& request,
                                                                session_data& session) {
-    const instant give_up = request.statement.arrived + request.route.statement_timeout;
+    const instant give_up =
+        m_router.wait_end(request.statement.arrived + request.route.statement_timeout);
     const bool repeatable =
         request.action == gateway_action::begin || request.statement.kind == access::read;
     request.may_decline = true;
--- a/proxy/statement_router.cc
+++ b/proxy/statement_router.cc
@@ -106,16 +106,22 @@
         return refuse(current, "isolated",
                       "neither the store nor the peers confirm this host's leases; not run");
     }
-    if (current.is_over()) {
+    if (boot_now() >= wait_end(current.give_up)) {
         return refuse(
             current, "no_endpoint",
             "no endpoint of group " + current.route.group.str() + " can answer the read; not run");
     }
-    m_fleet.changed.wait(to_steady(std::min(boot_now() + retry_pause, current.give_up)));
+    m_fleet.changed.wait(to_steady(std::min(boot_now() + retry_pause, wait_end(current.give_up))));
     current.excluded.clear();
     return std::nullopt;
 }
 
+void statement_router::refuse_waiting() {
+    for (const auto& [id, pool] : m_fleet.all_pools()) {
+        pool->refuse_waiting();
+    }
+}
+
 statement_outcome statement_router::refuse(const statement_attempt& current,
                                            std::string_view counted, std::string_view text) {
     m_counters.count("refusals", counted);
@@ -304,14 +310,15 @@
         const auto permit = m_fleet.lease.permit(group, boot_now());
         const auto pool = permit ? m_fleet.pool(permit->primary) : nullptr;
         if (!pool || pool->is_retired() || !pool->health().is_reachable()) {
+            const instant last_start = wait_end(current.give_up);
             const auto choice = m_outages.on_unavailable(group, m_fleet.lease.record(group),
-                                                         boot_now(), current.give_up);
-            if (m_is_unconfirmed || choice == outage_decision::refuse) {
+                                                         boot_now(), last_start);
+            const bool is_over = boot_now() >= last_start;
+            if (m_is_unconfirmed || is_over || choice == outage_decision::refuse) {
                 return refuse(current, m_is_unconfirmed ? "isolated" : "primary_outage",
                               "the primary of group " + group.str() + " is unavailable; not run");
             }
-            m_fleet.changed.wait(
-                to_steady(std::min(boot_now() + lease_poll_interval, current.give_up)));
+            m_fleet.changed.wait(to_steady(std::min(boot_now() + lease_poll_interval, last_start)));
             continue;
         }
         m_outages.on_available(group);
--- a/proxy/statement_router.h
+++ b/proxy/statement_router.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <memory>
 #include <optional>
 #include <set>
@@ -43,6 +44,15 @@
     /// have to wait are refused at once.
     void set_unconfirmed(bool is_unconfirmed) { m_is_unconfirmed = is_unconfirmed; }
     [[nodiscard]] bool is_unconfirmed() const { return m_is_unconfirmed; }
+    /// From now on a statement that waits is refused as not run at this time at the latest, and at
+    /// once if it cannot start by then.
+    void end_waits_at(instant limit) { m_wait_limit = limit; }
+    /// Refuses the statements that wait for a slot or a connection of an endpoint.
+    void refuse_waiting();
+    /// Latest time until which the statement may wait.
+    [[nodiscard]] instant wait_end(instant give_up) const {
+        return m_wait_limit ? std::min(give_up, *m_wait_limit) : give_up;
+    }
     /// True when this host cannot use the group's primary although other hosts may reach it.
     /// False during a failover, when no host can.
     [[nodiscard]] bool is_primary_unavailable_here(const group_id& group) const;
@@ -127,6 +137,7 @@
     daemon::metrics& m_counters;
     primary_outages m_outages;
     bool m_is_unconfirmed = false;
+    std::optional<instant> m_wait_limit;
     read_balance m_balance = read_balance::lowest_cost;
     random_source m_random;
 };
--- a/test/session_drain_test.cc
+++ b/test/session_drain_test.cc
@@ -1,6 +1,11 @@
 #include "jasminelead/session_drain.h"
 
 #include <catch2/catch.hpp>
+#include <chrono>
+#include <string>
+#include <thread>
+
+#include "session_fleet.h"
 
 using namespace jasminelead;
 using namespace jasminelead::literals;
@@ -56,3 +61,39 @@
         }
     }
 }
+
+// Guards against a connection that closes without an answer although its statement was sent nowhere
+// (rule LOST): the caller cannot tell that it has not run.
+TEST_CASE("a statement that waits for a primary is refused before a stop ends") {
+    test::fleet all{1, 8, duration::from_ms(2000)};
+    const char* const database = GENERATE("pay", "view");
+    CAPTURE(database);
+    test::caller session{all.port(), database};
+    for (std::size_t i = 0; i < 3; ++i) {
+        all.endpoint(i).crash();
+    }
+    all.daemon().stop_gracefully();
+    std::this_thread::sleep_for(std::chrono::milliseconds{500});
+    CHECK(session.query("READ k1").starts_with("ERROR BUSY"));
+}
+
+// Guards against the same for the caller of another host, whose statement waits at a gateway: it
+// would get an unknown outcome for a write that has not run.
+TEST_CASE("a write that waits at a gateway is passed on before the gateway stops") {
+    test::fleet all{2, test::few_connections, duration::from_ms(1000)};
+    test::wait_for_stable_routing();
+    for (std::size_t host = 0; host < 2; ++host) {
+        test::caller{all.port(host), "pay"}.query("WRITE warm v");
+    }
+    const bool is_first = all.daemon(0).counters().text().find("taken") != std::string::npos;
+    const std::size_t gateway = is_first ? 0 : 1;
+    test::caller session{all.port(1 - gateway), "pay"};
+    all.endpoint(0).crash();
+    std::string answer;
+    std::thread waiting{[&] { answer = session.query("WRITE k v"); }};
+    std::this_thread::sleep_for(std::chrono::milliseconds{200});
+    all.daemon(gateway).stop_gracefully();
+    waiting.join();
+    CHECK(answer.starts_with("ERROR BUSY"));
+    CHECK(all.runs("WRITE k v") == 0);
+}
