Keep a lost record of a higher term instead of its term alone

The restored record was a mark of an earlier replacement, and the known higher term was copied into it. A mark lets only terms above its own lead, so that the endpoint that led did not count, and was promoted again without effect until each promotion had settled.

Change: if an outdated record states a lower term than the known one, the known one stays, under the revision that the store has for the key. It permits no use and is replaced like other outdated records. Ruled out: not raising the term of marks, as the end of the old log would then be forgotten.

Measured: the changed test in primary_lease_test.cc failed before (for a restored mark, and for the primary of a restored record).

--- a/include/jasminelead/primary_lease.h
+++ b/include/jasminelead/primary_lease.h
@@ -52,8 +52,8 @@
 
     /// The store held exactly the known records at some time after `sent`.
     void confirm(instant sent);
-    /// Returns true if the record is newer than the known one. An outdated record keeps the term of
-    /// the known one if that is higher.
+    /// Returns true if the record is newer than the known one. If it is outdated and the known one
+    /// has a higher term, that one stays known, under the new revision.
     bool apply(const group_id& group, const group_record& record);
     /// Invalidates all permits until the next confirmation, for example after the host's
     /// registration was lost.
--- a/proxy/record_mirror.cc
+++ b/proxy/record_mirror.cc
@@ -174,15 +174,16 @@
     if (!m_fleet.lease.apply(group, record)) {
         return;
     }
+    const group_record& known = *m_fleet.lease.record(group);
     log_line{log_class::change, "primary_record"}
         .with("group", group)
-        .with("phase", record.phase == leadership_phase::led ? "led" : "changing")
-        .with("primary", record.primary)
-        .with("successor", record.successor)
-        .with("changed_by", record.changed_by)
-        .with("term", record.term)
-        .with_revision("revision", record.revision)
-        .with("outdated", m_fleet.lease.is_outdated(record) ? "true" : "false")
+        .with("phase", known.phase == leadership_phase::led ? "led" : "changing")
+        .with("primary", known.primary)
+        .with("successor", known.successor)
+        .with("changed_by", known.changed_by)
+        .with("term", known.term)
+        .with_revision("revision", known.revision)
+        .with("outdated", m_fleet.lease.is_outdated(known) ? "true" : "false")
         .write();
     m_fleet.retire_leaving(boot_now());
     m_fleet.changed.notify_all();
--- a/src/primary_lease.cc
+++ b/src/primary_lease.cc
@@ -1,7 +1,6 @@
 #include "jasminelead/primary_lease.h"
 
 #include <algorithm>
-#include <utility>
 
 namespace jasminelead {
 
@@ -17,11 +16,11 @@
         return false;
     }
     advance_era(era_of(record.revision));
-    const group_record before = std::exchange(known, record);
-    if (is_outdated(known) && before.term > known.term) {
-        // An endpoint that leads in a lower term was replaced, whatever the store has lost.
-        known.term = before.term;
-        known.taken_over_at = before.taken_over_at;
+    if (is_outdated(record) && known.term > record.term) {
+        // Terms only rise, so that the known record followed the restored one and was lost.
+        known.revision = record.revision;
+    } else {
+        known = record;
     }
     return true;
 }
--- a/test/primary_lease_test.cc
+++ b/test/primary_lease_test.cc
@@ -95,9 +95,11 @@
     CHECK(lease.era() == 1);
 }
 
-// Guards against an endpoint that was replaced and counts as the leader again, because the restored
-// record states a lower term than the lost one.
-TEST_CASE("a restored record keeps the highest known term") {
+// Guards against an endpoint that was replaced and counts as the leader again, and against a leader
+// that does not count because a restored mark lets only later terms lead: both records state a
+// lower term than the lost one.
+TEST_CASE("a lost record of a higher term stays known, but permits no use") {
+    const auto restored_phase = GENERATE(leadership_phase::led, leadership_phase::changing);
     primary_lease lease{2_s};
     group_record lost = led_by("c", 900);
     lost.term = 5;
@@ -105,9 +107,14 @@
     lease.apply(shows, lost);
     group_record restored = led_by("a", revision_in_era(1, 700));
     restored.term = 4;
-    lease.apply(shows, restored);
-    CHECK(lease.record(shows)->term == 5);
-    CHECK(lease.record(shows)->taken_over_at == log_point{4, 77});
+    restored.phase = restored_phase;
+    CHECK(lease.apply(shows, restored));
+    const group_record& known = *lease.record(shows);
+    CHECK(known.revision == restored.revision);
+    CHECK(known.primary == endpoint_id{"c"});
+    CHECK(known.phase == leadership_phase::led);
+    CHECK(known.term == 5);
+    CHECK(lease.is_outdated(known));
     // Endpoints that lost their logs may count terms anew; a host of this era has asked them.
     group_record written = led_by("a", revision_in_era(1, 701));
     written.era = 1;
