--- a/soak/fault_player.cc
+++ b/soak/fault_player.cc
@@ -2,6 +2,7 @@
 
 #include <signal.h>
 
+#include <algorithm>
 #include <list>
 #include <random>
 
@@ -15,6 +16,8 @@
 
 constexpr double usual_lag_ms = 60;
 constexpr double replacement_gap_ms = 300;
+// For how long the store is away before it comes back from a copy.
+constexpr double restored_store_away_ms = 500;
 constexpr double first_reload_ms = 1000;
 // A condition of many links takes effect one link after the other.
 constexpr double link_change_ms = 50;
@@ -169,6 +172,8 @@
             return hold_member(&store_trouble::late_share);
         case store_forgets:
             return m_all.keys.forget_history();
+        case store_restored:
+            return restore_store(fault);
         default:
             return m_all.put_config(fault.target);
         case key_removed:
@@ -176,6 +181,16 @@
     }
 }
 
+void fault_player::restore_store(const planned_fault& fault) {
+    const std::lock_guard in_turn{m_restore_lock};
+    m_all.keys.keep_copy();
+    sleep_ms(std::max(fault.length_ms - restored_store_away_ms, 0.0));
+    m_all.keys.set_modes(store_mode::resets);
+    sleep_ms(restored_store_away_ms);
+    m_all.keys.restore_copy();
+    m_all.keys.set_modes(store_mode::serves);
+}
+
 void fault_player::play_instance(const planned_fault& fault, const target& at) {
     const auto hold_setting = [&](auto set) {
         hold(fault, at.item->id(),
--- a/soak/fault_player.h
+++ b/soak/fault_player.h
@@ -33,6 +33,8 @@
     void play_one(const planned_fault& fault);
     void play_platform(const planned_fault& fault, const target& at);
     void play_store(const planned_fault& fault, const target& at);
+    /// The store goes on from a copy that is as old as the fault is long. One at a time.
+    void restore_store(const planned_fault& fault);
     void play_instance(const planned_fault& fault, const target& at);
     void play_links(const planned_fault& fault, const target& at);
     [[nodiscard]] std::vector<host_links::link> choose_links(const planned_fault& fault,
@@ -58,6 +60,7 @@
     disturbance_log& m_disturbances;
     double m_usual_work_ms;
     std::mutex m_lock;
+    std::mutex m_restore_lock;
     std::map<std::string, int> m_holders;
     promotion_trouble m_promotions;
     store_trouble m_store;
--- a/soak/http.cc
+++ b/soak/http.cc
@@ -97,7 +97,9 @@
         }
         const std::string text = "HTTP/1.1 " + std::to_string(answer.status) +
                                  " X\r\nContent-Type: application/json\r\nContent-Length: " +
-                                 std::to_string(answer.body.size()) + "\r\n\r\n" + answer.body;
+                                 std::to_string(answer.body.size()) + "\r\n" +
+                                 (answer.header.empty() ? "" : answer.header + "\r\n") + "\r\n" +
+                                 answer.body;
         if (!send_all(fd, text)) {
             break;
         }
--- a/soak/http.h
+++ b/soak/http.h
@@ -29,6 +29,7 @@
     int status = 200;
     std::string body = "{}";
     answer_fate fate = answer_fate::sent;
+    std::string header = "";  ///< One more header line; none if empty.
 };
 
 class http_listener {
--- a/soak/soak_plan.cc
+++ b/soak/soak_plan.cc
@@ -14,7 +14,7 @@
 // The first faults begin after this time.
 constexpr double first_fault_ms = 500;
 
-constexpr std::array<std::pair<fault_kind, std::string_view>, 37> names{{
+constexpr std::array<std::pair<fault_kind, std::string_view>, 38> names{{
     {promotion_answers_late, "promotion_answers_late"},
     {promotion_effects_late, "promotion_effects_late"},
     {promotion_unanswered, "promotion_unanswered"},
@@ -27,6 +27,7 @@
     {store_answers_lost, "store_answers_lost"},
     {store_calls_late, "store_calls_late"},
     {store_forgets, "store_forgets"},
+    {store_restored, "store_restored"},
     {config_change, "config_change"},
     {key_removed, "key_removed"},
     {drain, "drain"},
@@ -130,6 +131,32 @@
     return result;
 }
 
+// The store loses records of primaries, configurations, keys and hosts that it had acknowledged.
+soak_profile restored_store_faults() {
+    soak_profile result;
+    result.name = "restored";
+    result.services = 2;
+    result.accounts = 6;
+    result.load.write_share = 0.4;
+    result.rates = {
+        {store_restored, 7000, 1500, 5000},
+        {store_refuses_host, 7000, 500, 5000},
+        {config_change, 2500, 1, 1},
+        {key_removed, 5000, 1, 1},
+        {drain_called_off, 4000, 500, 3000},
+        {crash, 6000, 800, 5000},
+        {isolate, 8000, 1000, 5000, 0.2, 0.8},
+        {list_late, 8000, 2000, 6000, 300, 3000},
+        {promotion_effects_late, 10000, 2000, 6000, 200, 3000},
+        {host_kill, 8000, 300, 2500},
+        {host_term, 10000, 100, 1500},
+        {host_freeze, 8000, 200, 3000},
+        {hosts_killed, 15000, 300, 2000, 0.3, 0.7},
+        {host_cut, 12000, 500, 4000},
+    };
+    return result;
+}
+
 soak_profile mixed_faults() {
     soak_profile result;
     result.name = "mixed";
@@ -189,7 +216,8 @@
 
 const std::vector<soak_profile>& soak_profiles() {
     static const std::vector<soak_profile> profiles{mixed_faults(), replacement_faults(),
-                                                    store_faults(), account_faults()};
+                                                    store_faults(), account_faults(),
+                                                    restored_store_faults()};
     return profiles;
 }
 
--- a/soak/soak_plan.h
+++ b/soak/soak_plan.h
@@ -24,6 +24,7 @@
     store_answers_lost,  ///< Value: share of the calls.
     store_calls_late,    ///< Value: share of the calls.
     store_forgets,
+    store_restored,  ///< Comes back from a copy that is as old as the fault is long.
     config_change,
     key_removed,  ///< The key of one account is replaced by another one.
     // Of instances.
--- a/soak/store.cc
+++ b/soak/store.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <thread>
+#include <utility>
 
 #include "soak/clock.h"
 
@@ -45,7 +46,7 @@
         m_addresses.emplace_back();
     }
     m_listeners.push_back(std::make_unique<http_listener>(
-        [this, index](const http_request& request) { return answer(index, request); }));
+        [this, index](const http_request& request) { return answer_in_era(index, request); }));
     return m_listeners.back()->port();
 }
 
@@ -78,6 +79,43 @@
     m_changed.notify_all();
 }
 
+void store::keep_copy() {
+    const std::lock_guard lock{m_lock};
+    m_copy = m_items;
+    m_copy_rev = m_rev;
+}
+
+void store::restore_copy() {
+    const std::lock_guard lock{m_lock};
+    const auto before = std::exchange(m_items, m_copy);
+    std::erase_if(m_items, [](const auto& entry) { return entry.second.lease != 0; });
+    m_leases.clear();
+    note("the store returns from revision " + std::to_string(m_rev) + " to " +
+         std::to_string(m_copy_rev));
+    m_rev = m_copy_rev;
+    m_events.clear();
+    m_forgotten = m_rev;
+    ++m_era;
+    for (const auto& [key, entry] : before) {
+        const auto found = m_items.find(key);
+        const bool is_same = found != m_items.end() && found->second.value == entry.value;
+        if (is_foreign(key) && !is_same) {
+            ++m_rev;
+            set(key, entry.value, 0);
+        }
+    }
+    m_changed.notify_all();
+}
+
+http_answer store::answer_in_era(std::size_t caller, const http_request& request) {
+    http_answer result = answer(caller, request);
+    const std::lock_guard lock{m_lock};
+    if (m_era != 0) {
+        result.header = "Store-Era: " + std::to_string(m_era);
+    }
+    return result;
+}
+
 bool store::put(const std::string& key, const std::string& value) {
     const std::lock_guard lock{m_lock};
     if (serves_nobody() && !key.starts_with("op/")) {
@@ -287,9 +325,10 @@
     const std::uint64_t after = std::stoull(request.query.at("after"));
     const double end = now_ms() + std::stod(request.query.at("waitMs"));
     // A watch that waits has seen all changes so far.
-    if (after < m_forgotten) {
+    if (after < m_forgotten || after > m_rev) {
         return {forgotten_status, "{}", answer_fate::sent};
     }
+    const std::uint64_t era = m_era;
     json::array events;
     for (;;) {
         const auto first = std::upper_bound(
@@ -305,7 +344,7 @@
                     : json::object{{"key", at->key}, {"rev", at->rev}, {"tombstone", true}});
         }
         const double left = end - now_ms();
-        if (!events.empty() || left <= 0 || m_modes[caller] != store_mode::serves) {
+        if (!events.empty() || left <= 0 || m_era != era || m_modes[caller] != store_mode::serves) {
             break;
         }
         m_changed.wait_for(lock, std::chrono::duration<double, std::milli>(left));
@@ -316,6 +355,9 @@
     if (m_modes[caller] != store_mode::serves) {
         return {busy_status, "{}", answer_fate::sent};
     }
+    if (m_era != era) {
+        return lost(answer_fate::reset);
+    }
     return ok({{"events", std::move(events)}, {"storeRevision", m_rev}});
 }
 
--- a/soak/store.h
+++ b/soak/store.h
@@ -51,6 +51,11 @@
     void set_trouble(const store_trouble& trouble);
     /// Watches from before this moment get 410.
     void forget_history();
+    /// Keeps a copy of what the store holds now.
+    void keep_copy();
+    /// Returns from the copy and begins a new era. What was written since is lost, leases too; then
+    /// the operator and the instances write again what they had written.
+    void restore_copy();
     /// A write of the operator or of an endpoint; false while the store serves nobody.
     bool put(const std::string& key, const std::string& value);
     void remove(const std::string& key);
@@ -85,6 +90,8 @@
     boost::json::object to_json(std::size_t caller, const std::string& key, const item& entry);
     std::string as_seen(std::size_t caller, const std::string& value);
 
+    /// The answer, with the era once the store has returned from a copy.
+    http_answer answer_in_era(std::size_t caller, const http_request& request);
     http_answer answer(std::size_t caller, const http_request& request);
     http_answer execute(lock_type& lock, std::size_t caller, const http_request& request);
     http_answer get(std::size_t caller, const http_request& request);
@@ -102,6 +109,9 @@
     std::uint64_t m_forgotten = 0;
     std::uint64_t m_last_lease = 0;
     double m_last_tick = 0;
+    std::map<std::string, item> m_copy;
+    std::uint64_t m_copy_rev = 0;
+    std::uint64_t m_era = 0;
     store_trouble m_trouble;
     std::minstd_rand m_random{1};
     std::vector<store_mode> m_modes;
