Take the ports of test hosts from below the range of outgoing connections

The tests chose a port that the kernel had just given out and released, from the range 32768 to 60999 of outgoing connections; another process can take such a port before the host listens. That the other programs' many connections did so is by reading: the error text was not printed.

Change: free_address probes ports from 20000 to 31999 in turn, beginning at a different one in each process. Ruled out: starting a host again when it cannot listen, which would hide a listener that is not closed.

--- a/test/session_fleet.h
+++ b/test/session_fleet.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <poll.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <array>
@@ -33,10 +34,25 @@
 
 using tcp = boost::asio::ip::tcp;
 
+/// A free address whose port is below the range from which Linux takes the ports of outgoing
+/// connections: none of them can take it before a host listens on it.
 inline std::string free_address() {
-    boost::asio::io_context io;
-    tcp::acceptor probe{io, {boost::asio::ip::address_v4::loopback(), 0}};
-    return "127.0.0.1:" + std::to_string(probe.local_endpoint().port());
+    constexpr int first_port = 20'000;
+    constexpr int ports = 12'000;
+    // Processes that run at the same time begin at different ports.
+    static std::atomic<int> next = ::getpid() * 97;
+    for (;;) {
+        const int port = first_port + next++ % ports;
+        const tcp::endpoint local{boost::asio::ip::address_v4::loopback(),
+                                  static_cast<std::uint16_t>(port)};
+        boost::asio::io_context io;
+        tcp::acceptor probe{io, local.protocol()};
+        boost::system::error_code error;
+        probe.bind(local, error);
+        if (!error) {
+            return "127.0.0.1:" + std::to_string(port);
+        }
+    }
 }
 
 // Endpoints have three slots, so that this limit leaves connections for only one host. The others
